Add the codecs of tunnel frames and PROXY headers

Cause: entry hosts and agents exchange frames, the fabric and entry hosts exchange datagrams behind PROXY headers, and neither codec existed.

Change: frames are encoded and decoded with libcbor's streaming functions into and from the caller's buffer, without allocation on success. Endpoints are byte strings of six bytes. The version is checked before the number of elements, so that a longer layout of a later version is reported as an unknown version.

Ruled out: endpoints as nested arrays (two more items each) and as one number (up to nine bytes).

--- a/include/jasminearch/wire/frame.h
+++ b/include/jasminearch/wire/frame.h
@@ -4,6 +4,7 @@
 #include "jasminearch/error.h"
 #include "jasminearch/types.h"
 #include <absl/types/span.h>
+#include <array>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -49,7 +50,7 @@
   TraceId Trace;
   /// Earlier owners that may still hold the flow, latest first.
   std::uint8_t CandidateCount = 0;
-  UpstreamId Candidates[MaxCandidates] = {};
+  std::array<UpstreamId, MaxCandidates> Candidates{};
 
   bool operator==(const FrameHeader &) const = default;
 };
--- /dev/null
+++ b/src/wire/frame.cpp
@@ -0,0 +1,246 @@
+#include "jasminearch/wire/frame.h"
+#include <algorithm>
+#include <cbor.h>
+#include <cstring>
+#include <limits>
+#include <string>
+
+namespace jasminearch::wire {
+
+namespace {
+
+/// Elements of the outermost array.
+constexpr std::size_t FrameElements = 13;
+
+/// Bytes of an encoded endpoint: address and port in network byte order.
+constexpr std::size_t EndpointBytes = 6;
+
+/// Number of the last known frame kind.
+constexpr auto LastKind = static_cast<std::uint8_t>(FrameKind::Load);
+
+/// Appends CBOR items to a fixed buffer. An item that doesn't fit clears
+/// Complete, and nothing is written from then on.
+struct Writer {
+  absl::Span<std::uint8_t> Out;
+  std::size_t Used = 0;
+  bool Complete = true;
+
+  unsigned char *next() { return Out.data() + Used; }
+  std::size_t room() const { return Complete ? Out.size() - Used : 0; }
+
+  void took(std::size_t Count) {
+    Complete = Complete && Count > 0;
+    Used += Complete ? Count : 0;
+  }
+};
+
+void writeNumber(Writer &W, std::uint64_t Value) {
+  W.took(cbor_encode_uint(Value, W.next(), W.room()));
+}
+
+void writeBytes(Writer &W, absl::Span<const std::uint8_t> Value) {
+  W.took(cbor_encode_bytestring_start(Value.size(), W.next(), W.room()));
+  W.Complete = W.Complete && Value.size() <= W.room();
+  if (!W.Complete || Value.empty())
+    return;
+  std::memcpy(W.next(), Value.data(), Value.size());
+  W.Used += Value.size();
+}
+
+void writeEndpoint(Writer &W, const Endpoint &E) {
+  const std::uint8_t Encoded[EndpointBytes] = {
+      static_cast<std::uint8_t>(E.Address >> 24U),
+      static_cast<std::uint8_t>(E.Address >> 16U),
+      static_cast<std::uint8_t>(E.Address >> 8U),
+      static_cast<std::uint8_t>(E.Address),
+      static_cast<std::uint8_t>(E.Port >> 8U),
+      static_cast<std::uint8_t>(E.Port)};
+  writeBytes(W, Encoded);
+}
+
+/// The forms of CBOR items that frames use.
+enum class ItemForm : std::uint8_t { Unused, Number, ByteString, Array };
+
+/// One decoded item.
+struct Item {
+  ItemForm Form = ItemForm::Unused;
+  /// Value of a number, or element count of an array.
+  std::uint64_t Number = 0;
+  absl::Span<const std::uint8_t> Content;
+};
+
+void setItem(void *Context, ItemForm Form, std::uint64_t Number) {
+  auto &Target = *static_cast<Item *>(Context);
+  Target.Form = Form;
+  Target.Number = Number;
+}
+
+cbor_callbacks makeCallbacks() {
+  cbor_callbacks Table = cbor_empty_callbacks;
+  Table.uint8 = [](void *Context, std::uint8_t Value) {
+    setItem(Context, ItemForm::Number, Value);
+  };
+  Table.uint16 = [](void *Context, std::uint16_t Value) {
+    setItem(Context, ItemForm::Number, Value);
+  };
+  Table.uint32 = [](void *Context, std::uint32_t Value) {
+    setItem(Context, ItemForm::Number, Value);
+  };
+  Table.uint64 = [](void *Context, std::uint64_t Value) {
+    setItem(Context, ItemForm::Number, Value);
+  };
+  Table.array_start = [](void *Context, std::size_t Count) {
+    setItem(Context, ItemForm::Array, Count);
+  };
+  Table.byte_string = [](void *Context, cbor_data Data, std::size_t Size) {
+    setItem(Context, ItemForm::ByteString, 0);
+    static_cast<Item *>(Context)->Content = {Data, Size};
+  };
+  return Table;
+}
+
+/// Reads items one after the other. After the first failure, Failure names it
+/// and the values that are returned mean nothing.
+struct Reader {
+  absl::Span<const std::uint8_t> Rest;
+  ErrorCode Failure{};
+  const char *Element = "";
+
+  bool failed() const { return Failure != ErrorCode{}; }
+
+  void refuse(ErrorCode Code, const char *Name) {
+    if (failed())
+      return;
+    Failure = Code;
+    Element = Name;
+  }
+};
+
+Item readItem(Reader &R, ItemForm Wanted, const char *Name) {
+  static const cbor_callbacks Callbacks = makeCallbacks();
+  Item Result;
+  if (R.failed())
+    return Result;
+  if (R.Rest.empty()) {
+    R.refuse(ErrorCode::FrameTruncated, Name);
+    return Result;
+  }
+  const cbor_decoder_result Read =
+      cbor_stream_decode(R.Rest.data(), R.Rest.size(), &Callbacks, &Result);
+  if (Read.status == CBOR_DECODER_NEDATA)
+    R.refuse(ErrorCode::FrameTruncated, Name);
+  else if (Read.status != CBOR_DECODER_FINISHED || Result.Form != Wanted)
+    R.refuse(ErrorCode::FrameMalformed, Name);
+  else
+    R.Rest.remove_prefix(Read.read);
+  return Result;
+}
+
+template <typename Value> Value readNumber(Reader &R, const char *Name) {
+  const Item Read = readItem(R, ItemForm::Number, Name);
+  if (Read.Number > std::numeric_limits<Value>::max())
+    R.refuse(ErrorCode::FrameMalformed, Name);
+  return static_cast<Value>(Read.Number);
+}
+
+Endpoint readEndpoint(Reader &R, const char *Name) {
+  const Item Read = readItem(R, ItemForm::ByteString, Name);
+  if (Read.Content.size() != EndpointBytes) {
+    R.refuse(ErrorCode::FrameMalformed, Name);
+    return {};
+  }
+  const auto *Byte = Read.Content.data();
+  return {std::uint32_t{Byte[0]} << 24U | std::uint32_t{Byte[1]} << 16U |
+              std::uint32_t{Byte[2]} << 8U | std::uint32_t{Byte[3]},
+          static_cast<std::uint16_t>(Byte[4] << 8U | Byte[5])};
+}
+
+FrameKind readKind(Reader &R) {
+  const auto Number = readNumber<std::uint8_t>(R, "kind");
+  if (Number > LastKind)
+    R.refuse(ErrorCode::FrameMalformed, "kind");
+  return static_cast<FrameKind>(Number);
+}
+
+void readCandidates(Reader &R, FrameHeader &Header) {
+  const Item Start = readItem(R, ItemForm::Array, "candidates");
+  if (Start.Number > MaxCandidates)
+    R.refuse(ErrorCode::FrameMalformed, "candidates");
+  if (R.failed())
+    return;
+  Header.CandidateCount = static_cast<std::uint8_t>(Start.Number);
+  for (std::size_t I = 0; I < Header.CandidateCount; ++I)
+    Header.Candidates[I].Number = readNumber<std::uint32_t>(R, "candidate");
+}
+
+/// Reads the start of the array and the version. The version decides first,
+/// because another version may have another number of elements.
+void readStart(Reader &R) {
+  const Item Start = readItem(R, ItemForm::Array, "frame");
+  if (Start.Number == 0)
+    R.refuse(ErrorCode::FrameMalformed, "frame");
+  const auto Version = readItem(R, ItemForm::Number, "version").Number;
+  if (!R.failed() && Version != FrameVersion)
+    R.refuse(ErrorCode::FrameUnknownVersion, "version");
+  if (Start.Number != FrameElements)
+    R.refuse(ErrorCode::FrameMalformed, "frame");
+}
+
+} // namespace
+
+Expected<std::size_t> encodeFrame(const FrameHeader &Header,
+                                  absl::Span<const std::uint8_t> Payload,
+                                  absl::Span<std::uint8_t> Out) {
+  if (Header.CandidateCount > MaxCandidates)
+    return fail(ErrorCode::FrameTooLarge,
+                std::to_string(Header.CandidateCount) +
+                    " candidates, at most " + std::to_string(MaxCandidates));
+  Writer W{Out.subspan(0, std::min(Out.size(), MaxDatagramBytes))};
+  W.took(cbor_encode_array_start(FrameElements, W.next(), W.room()));
+  writeNumber(W, FrameVersion);
+  writeNumber(W, static_cast<std::uint8_t>(Header.Kind));
+  writeNumber(W, Header.Service.Number);
+  writeNumber(W, Header.InForce.Number);
+  writeNumber(W, Header.Upstream.Number);
+  writeNumber(W, Header.Instance.Number);
+  writeNumber(W, Header.Hops);
+  writeEndpoint(W, Header.Caller);
+  writeEndpoint(W, Header.ServiceAddress);
+  writeEndpoint(W, Header.Return);
+  writeNumber(W, Header.Trace.Number);
+  W.took(cbor_encode_array_start(Header.CandidateCount, W.next(), W.room()));
+  for (std::size_t I = 0; I < Header.CandidateCount; ++I)
+    writeNumber(W, Header.Candidates[I].Number);
+  writeBytes(W, Payload);
+  if (!W.Complete)
+    return fail(ErrorCode::FrameTooLarge,
+                "payload of " + std::to_string(Payload.size()) +
+                    " bytes doesn't fit into " + std::to_string(W.Out.size()));
+  return W.Used;
+}
+
+Expected<FrameView> decodeFrame(absl::Span<const std::uint8_t> Datagram) {
+  Reader R{Datagram};
+  FrameView View;
+  FrameHeader &Header = View.Header;
+  readStart(R);
+  Header.Kind = readKind(R);
+  Header.Service.Number = readNumber<std::uint32_t>(R, "service");
+  Header.InForce.Number = readNumber<std::uint64_t>(R, "revision");
+  Header.Upstream.Number = readNumber<std::uint32_t>(R, "upstream");
+  Header.Instance.Number = readNumber<std::uint64_t>(R, "incarnation");
+  Header.Hops = readNumber<std::uint8_t>(R, "hops");
+  Header.Caller = readEndpoint(R, "caller");
+  Header.ServiceAddress = readEndpoint(R, "service endpoint");
+  Header.Return = readEndpoint(R, "return endpoint");
+  Header.Trace.Number = readNumber<std::uint64_t>(R, "trace id");
+  readCandidates(R, Header);
+  View.Payload = readItem(R, ItemForm::ByteString, "payload").Content;
+  if (!R.Rest.empty())
+    R.refuse(ErrorCode::FrameMalformed, "bytes behind the frame");
+  if (R.failed())
+    return fail(R.Failure, R.Element);
+  return View;
+}
+
+} // namespace jasminearch::wire
--- /dev/null
+++ b/src/wire/proxy_header.cpp
@@ -0,0 +1,95 @@
+#include "jasminearch/wire/proxy_header.h"
+#include <cstring>
+#include <string>
+
+namespace jasminearch::wire {
+
+namespace {
+
+constexpr std::uint8_t Signature[] = {0x0D, 0x0A, 0x0D, 0x0A, 0x00, 0x0D,
+                                      0x0A, 0x51, 0x55, 0x49, 0x54, 0x0A};
+
+/// Version 2 in the upper four bits, command PROXY in the lower four.
+constexpr std::uint8_t VersionAndCommand = 0x21;
+
+/// AF_INET in the upper four bits, DGRAM in the lower four.
+constexpr std::uint8_t UdpOverIpv4 = 0x12;
+
+constexpr std::size_t CommandOffset = sizeof(Signature);
+constexpr std::size_t FamilyOffset = CommandOffset + 1;
+constexpr std::size_t LengthOffset = FamilyOffset + 1;
+
+/// Bytes up to and with the length field, which doesn't count them.
+constexpr std::size_t FixedBytes = LengthOffset + 2;
+
+/// Two addresses of four bytes and two ports of two bytes.
+constexpr std::size_t AddressBytes = ProxyHeaderBytes - FixedBytes;
+
+constexpr std::size_t SourceAddressOffset = FixedBytes;
+constexpr std::size_t DestinationAddressOffset = FixedBytes + 4;
+constexpr std::size_t SourcePortOffset = FixedBytes + 8;
+constexpr std::size_t DestinationPortOffset = FixedBytes + 10;
+
+void put16(std::uint8_t *Out, std::uint16_t Value) {
+  Out[0] = static_cast<std::uint8_t>(Value >> 8U);
+  Out[1] = static_cast<std::uint8_t>(Value);
+}
+
+void put32(std::uint8_t *Out, std::uint32_t Value) {
+  put16(Out, static_cast<std::uint16_t>(Value >> 16U));
+  put16(Out + 2, static_cast<std::uint16_t>(Value));
+}
+
+std::uint16_t take16(const std::uint8_t *In) {
+  return static_cast<std::uint16_t>(In[0] << 8U | In[1]);
+}
+
+std::uint32_t take32(const std::uint8_t *In) {
+  return std::uint32_t{take16(In)} << 16U | take16(In + 2);
+}
+
+Expected<ProxyView> truncated(std::size_t Found, std::size_t Wanted) {
+  return fail(ErrorCode::ProxyHeaderTruncated, std::to_string(Found) +
+                                                   " bytes, the header has " +
+                                                   std::to_string(Wanted));
+}
+
+} // namespace
+
+void encodeProxyHeader(const ProxyHeader &Header,
+                       std::uint8_t (&Out)[ProxyHeaderBytes]) {
+  std::memcpy(Out, Signature, sizeof(Signature));
+  Out[CommandOffset] = VersionAndCommand;
+  Out[FamilyOffset] = UdpOverIpv4;
+  put16(Out + LengthOffset, AddressBytes);
+  put32(Out + SourceAddressOffset, Header.Source.Address);
+  put32(Out + DestinationAddressOffset, Header.Destination.Address);
+  put16(Out + SourcePortOffset, Header.Source.Port);
+  put16(Out + DestinationPortOffset, Header.Destination.Port);
+}
+
+Expected<ProxyView> decodeProxyHeader(absl::Span<const std::uint8_t> Datagram) {
+  if (Datagram.size() < FixedBytes)
+    return truncated(Datagram.size(), FixedBytes);
+  const std::uint8_t *In = Datagram.data();
+  if (std::memcmp(In, Signature, sizeof(Signature)) != 0)
+    return fail(ErrorCode::ProxyHeaderMalformed, "signature");
+  if (In[CommandOffset] != VersionAndCommand)
+    return fail(ErrorCode::ProxyHeaderMalformed, "version or command");
+  if (In[FamilyOffset] != UdpOverIpv4)
+    return fail(ErrorCode::ProxyHeaderMalformed, "not UDP over IPv4");
+  const std::size_t Length = take16(In + LengthOffset);
+  if (Length < AddressBytes)
+    return fail(ErrorCode::ProxyHeaderMalformed, "address length");
+  if (Datagram.size() < FixedBytes + Length)
+    return truncated(Datagram.size(), FixedBytes + Length);
+  ProxyView View;
+  View.Header.Source = {take32(In + SourceAddressOffset),
+                        take16(In + SourcePortOffset)};
+  View.Header.Destination = {take32(In + DestinationAddressOffset),
+                             take16(In + DestinationPortOffset)};
+  View.Payload = Datagram.subspan(FixedBytes + Length);
+  return View;
+}
+
+} // namespace jasminearch::wire
