--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,162 @@
+#include "jasminearch/settings.h"
+#include "jasminearch/detail/table_reader.h"
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
+#include <fstream>
+#include <limits>
+#include <set>
+#include <sstream>
+
+namespace jasminearch {
+
+namespace {
+
+using detail::TableReader;
+
+/// Shortest shared secret, in characters.
+constexpr std::size_t LeastKeyLength = 16;
+
+/// Most requests that one upstream can handle at a time.
+constexpr std::int64_t MostSlots = 65'536;
+
+Expected<toml::table> parseFile(const std::string &File) {
+  std::ifstream In(File);
+  std::ostringstream Text;
+  if (!In || !(Text << In.rdbuf()))
+    return fail(ErrorCode::SettingsUnreadable,
+                absl::StrCat(File, ": can't be read"));
+  try {
+    return toml::parse(Text.str(), File);
+  } catch (const toml::parse_error &Failure) {
+    return fail(ErrorCode::SettingsMalformed,
+                absl::StrCat(File, ":", Failure.source().begin.line, ": ",
+                             std::string(Failure.description())));
+  }
+}
+
+CommonSettings readCommon(TableReader &Reader) {
+  CommonSettings Common;
+  Common.Cluster = Reader.text("cluster");
+  Common.Name = Reader.text("name");
+  Common.DataCentre = Reader.text("data_centre");
+  Common.LinkKey = Reader.text("link_key");
+  Common.LogLevel =
+      Reader.choice("log_level", {"debug", "info", "warning", "error"}, "info");
+  return Common;
+}
+
+Expected<std::vector<ControlHost>> readControlHosts(TableReader &Reader,
+                                                    const std::string &File) {
+  static const std::string Key = "control_host";
+  std::vector<ControlHost> Hosts;
+  std::set<std::string> Names;
+  for (const toml::table *Table : Reader.tables(Key)) {
+    TableReader Entry(*Table, File, absl::StrCat(Key, "[", Hosts.size(), "]"));
+    ControlHost Host;
+    Host.Name = Entry.text("name");
+    Host.Address = Entry.endpoint("address");
+    if (auto Checked = Entry.finish(); !Checked)
+      return tl::unexpected<Error>(Checked.error());
+    if (!Names.insert(Host.Name).second)
+      return fail(ErrorCode::SettingsOutOfRange,
+                  absl::StrCat(File, ":", Table->source().begin.line,
+                               ": key \"", Key, ".name\": found \"", Host.Name,
+                               "\" twice, allowed: a name of its own"));
+    Hosts.push_back(std::move(Host));
+  }
+  return Hosts;
+}
+
+/// Checks that hold across keys.
+Expected<void> checkCommon(const CommonSettings &Common,
+                           const std::string &File) {
+  if (Common.LinkKey.size() < LeastKeyLength)
+    return fail(
+        ErrorCode::SettingsOutOfRange,
+        absl::StrCat(File, ": key \"link_key\": found ", Common.LinkKey.size(),
+                     " characters, allowed: at least ", LeastKeyLength));
+  return {};
+}
+
+/// Reads a whole file: the common part, the control hosts, then what
+/// \p ReadRest reads into \p Out.
+template <typename Settings, typename Rest>
+Expected<Settings> load(const std::string &File, Rest ReadRest) {
+  const Expected<toml::table> Table = parseFile(File);
+  if (!Table)
+    return tl::unexpected<Error>(Table.error());
+  TableReader Reader(*Table, File, "");
+  Settings Out;
+  Out.Common = readCommon(Reader);
+  auto Hosts = readControlHosts(Reader, File);
+  ReadRest(Reader, Out);
+  if (auto Checked = Reader.finish(); !Checked)
+    return tl::unexpected<Error>(Checked.error());
+  if (!Hosts)
+    return tl::unexpected<Error>(Hosts.error());
+  Out.ControlHosts = std::move(*Hosts);
+  if (auto Checked = checkCommon(Out.Common, File); !Checked)
+    return tl::unexpected<Error>(Checked.error());
+  return Out;
+}
+
+} // namespace
+
+Expected<EntrySettings> loadEntrySettings(const std::string &File) {
+  return load<EntrySettings>(File, [](TableReader &Reader, EntrySettings &Out) {
+    Out.FabricListen = Reader.endpoint("fabric_listen");
+    Out.FabricReturn = Reader.endpoint("fabric_return");
+    Out.Tunnel = Reader.endpoint("tunnel");
+  });
+}
+
+Expected<AgentSettings> loadAgentSettings(const std::string &File) {
+  return load<AgentSettings>(File, [](TableReader &Reader, AgentSettings &Out) {
+    Out.Service = Reader.text("service");
+    Out.Tunnel = Reader.endpoint("tunnel");
+    Out.Upstream = Reader.endpoint("upstream");
+    Out.Slots =
+        static_cast<std::uint32_t>(Reader.number("slots", 1, MostSlots));
+    Out.TakeOver = Reader.endpoint("take_over");
+  });
+}
+
+Expected<ControlSettings> loadControlSettings(const std::string &File) {
+  auto Loaded = load<ControlSettings>(
+      File, [](TableReader &Reader, ControlSettings &Out) {
+        Out.DataFolder = Reader.text("data_folder");
+      });
+  if (!Loaded)
+    return Loaded;
+  for (const ControlHost &Host : Loaded->ControlHosts)
+    if (Host.Name == Loaded->Common.Name)
+      return Loaded;
+  return fail(ErrorCode::SettingsOutOfRange,
+              absl::StrCat(File, ": key \"name\": found \"",
+                           Loaded->Common.Name,
+                           "\", allowed: the name of a [[control_host]]"));
+}
+
+Expected<CtlSettings> loadCtlSettings(const std::string &File) {
+  return load<CtlSettings>(File, [](TableReader &, CtlSettings &) {});
+}
+
+Expected<Endpoint> parseEndpoint(const std::string &Text) {
+  const auto Refused =
+      fail(ErrorCode::InvalidArgument,
+           absl::StrCat("\"", Text, "\" isn't an IPv4 address and port"));
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return Refused;
+  in_addr Address{};
+  if (inet_pton(AF_INET, Text.substr(0, Colon).c_str(), &Address) != 1)
+    return Refused;
+  std::uint32_t Port = 0;
+  if (!absl::SimpleAtoi(Text.substr(Colon + 1), &Port) || Port == 0 ||
+      Port > std::numeric_limits<std::uint16_t>::max())
+    return Refused;
+  return Endpoint{ntohl(Address.s_addr), static_cast<std::uint16_t>(Port)};
+}
+
+} // namespace jasminearch
