--- /dev/null
+++ b/standins/jasminearch_caller.cpp
@@ -0,0 +1,122 @@
+#include "jasminearch/settings.h"
+#include "standins/lib/caller.h"
+#include <absl/strings/numbers.h>
+#include <csignal>
+#include <getopt.h>
+#include <iostream>
+
+/// A caller over libcoap sessions: lines, large answers and non-idempotent
+/// requests. Records what it was told.
+namespace {
+
+using namespace standins;
+
+const option LongOptions[] = {
+    {"address", required_argument, nullptr, 'a'},
+    {"service", required_argument, nullptr, 's'},
+    {"name", required_argument, nullptr, 'n'},
+    {"record", required_argument, nullptr, 'r'},
+    {"lines", required_argument, nullptr, 'l'},
+    {"requests", required_argument, nullptr, 'q'},
+    {"rate", required_argument, nullptr, 'R'},
+    {"sheet-percent", required_argument, nullptr, 'p'},
+    {"sheet-bytes", required_argument, nullptr, 'b'},
+    {"rebind-lines", required_argument, nullptr, 'B'},
+    {"sessions", required_argument, nullptr, 'S'},
+    {"seconds", required_argument, nullptr, 'd'},
+    {"seed", required_argument, nullptr, 'e'},
+    {"help", no_argument, nullptr, 'h'},
+    {nullptr, 0, nullptr, 0}};
+
+void printHelp() {
+  std::cout
+      << "jasminearch-caller --address IP:PORT --service NAME --name NAME "
+         "[--record FILE]\n  [--lines N] [--requests N] [--rate PER_SECOND] "
+         "[--sheet-percent N]\n  [--sheet-bytes N] [--rebind-lines N] "
+         "[--sessions N] [--seconds N] [--seed N]\n";
+}
+
+bool readText(int Option, const char *Value, CallerOptions &Out) {
+  switch (Option) {
+  case 's':
+    Out.Service = Value;
+    return true;
+  case 'n':
+    Out.Name = Value;
+    return true;
+  case 'r':
+    Out.RecordFile = Value;
+    return true;
+  case 'a': {
+    const auto Parsed = jasminearch::parseEndpoint(Value);
+    Out.Address = Parsed.value_or(jasminearch::Endpoint{});
+    return Parsed.has_value();
+  }
+  default:
+    return false;
+  }
+}
+
+bool readNumber(int Option, unsigned Number, CallerOptions &Out) {
+  switch (Option) {
+  case 'l':
+    Out.Lines = Number;
+    return true;
+  case 'q':
+    Out.Requests = Number;
+    return true;
+  case 'R':
+    Out.RequestsPerSecond = Number;
+    return Number > 0;
+  case 'p':
+    Out.SheetPercent = Number;
+    return Number <= 100;
+  case 'b':
+    Out.SheetBytes = Number;
+    return true;
+  case 'B':
+    Out.RebindLines = Number;
+    return true;
+  case 'S':
+    Out.Sessions = Number;
+    return Number > 0;
+  case 'd':
+    Out.Duration = std::chrono::seconds(Number);
+    return true;
+  case 'e':
+    Out.Seed = Number;
+    return true;
+  default:
+    return false;
+  }
+}
+
+Caller TheCaller;
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  int Option = 0;
+  while ((Option = getopt_long(Argc, Argv, "", LongOptions, nullptr)) != -1) {
+    unsigned Number = 0;
+    const bool Read =
+        optarg && (readText(Option, optarg, TheCaller.Options) ||
+                   (absl::SimpleAtoi(optarg, &Number) &&
+                    readNumber(Option, Number, TheCaller.Options)));
+    if (Option == 'h' || !Read) {
+      printHelp();
+      return Option == 'h' ? EXIT_SUCCESS : EXIT_FAILURE;
+    }
+  }
+  if (TheCaller.Options.Address == jasminearch::Endpoint{}) {
+    printHelp();
+    return EXIT_FAILURE;
+  }
+  std::signal(SIGTERM, [](int) { TheCaller.Stopping = true; });
+  if (!startCaller(TheCaller)) {
+    std::cerr << "can't open the sessions\n";
+    return EXIT_FAILURE;
+  }
+  runCaller(TheCaller);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/standins/jasminearch_tally.cpp
@@ -0,0 +1,27 @@
+#include "standins/lib/tally.h"
+#include <fstream>
+#include <iostream>
+
+/// Reads the record files of callers and upstreams and prints the sums as one
+/// JSON object. Exit status 0 only if every promise held; 2 for bad input.
+int main(int Argc, char **Argv) {
+  standins::Tally Sum;
+  for (int I = 1; I < Argc; ++I) {
+    std::ifstream In(Argv[I]);
+    if (!In) {
+      std::cerr << Argv[I] << ": can't be read\n";
+      return 2;
+    }
+    std::string Line;
+    while (std::getline(In, Line)) {
+      try {
+        addRecord(Sum, nlohmann::json::parse(Line));
+      } catch (const nlohmann::json::exception &Failure) {
+        std::cerr << Argv[I] << ": " << Failure.what() << '\n';
+        return 2;
+      }
+    }
+  }
+  std::cout << summary(Sum).dump() << '\n';
+  return holds(Sum) ? 0 : 1;
+}
--- /dev/null
+++ b/standins/lib/caller.cpp
@@ -0,0 +1,426 @@
+#include "standins/lib/caller.h"
+#include "standins/lib/sheet_body.h"
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace standins {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Retries as a share of first attempts.
+constexpr double RetryBudget = 0.1;
+/// Retries that are allowed before the budget counts.
+constexpr unsigned FreeRetries = 10;
+/// Longest token of RFC 7252.
+constexpr std::size_t MostTokenBytes = 8;
+constexpr milliseconds LeastBackoff{100};
+constexpr milliseconds MostBackoff{400};
+/// Registrations that a line may leave unanswered before it counts as broken.
+constexpr unsigned MostSilentRegistrations = 4;
+
+Caller &callerOf(coap_session_t *Session) {
+  return *static_cast<Caller *>(
+      coap_get_app_data(coap_session_get_context(Session)));
+}
+
+std::size_t sessionIndex(const Caller &C, const coap_session_t *Session) {
+  const auto Found = std::find(C.Sessions.begin(), C.Sessions.end(), Session);
+  return static_cast<std::size_t>(Found - C.Sessions.begin());
+}
+
+coap_session_t *openSession(Caller &C) {
+  const coap_address_t Server = toCoapAddress(C.Options.Address);
+  return coap_new_client_session(C.Context, nullptr, &Server, COAP_PROTO_UDP);
+}
+
+std::string newToken(coap_session_t *Session) {
+  std::uint8_t Token[MostTokenBytes];
+  std::size_t Length = sizeof(Token);
+  coap_session_new_token(Session, &Length, Token);
+  return {reinterpret_cast<const char *>(Token), Length};
+}
+
+std::string tokenOf(const coap_pdu_t *Pdu) {
+  const coap_bin_const_t Token = coap_pdu_get_token(Pdu);
+  return {reinterpret_cast<const char *>(Token.s), Token.length};
+}
+
+void addOption(coap_pdu_t *Pdu, coap_option_num_t Number,
+               const std::string &Value) {
+  coap_add_option(Pdu, Number, Value.size(),
+                  reinterpret_cast<const std::uint8_t *>(Value.data()));
+}
+
+/// Builds and sends a request. Options are added in the order of their numbers,
+/// as libcoap asks.
+bool sendPdu(coap_session_t *Session, coap_pdu_code_t Code,
+             const std::string &Token, bool Observe,
+             const std::vector<std::string> &Path,
+             const std::vector<std::string> &Query, const std::string &Echo) {
+  coap_pdu_t *Pdu =
+      coap_pdu_init(COAP_MESSAGE_CON, Code, coap_new_message_id(Session),
+                    coap_session_max_pdu_size(Session));
+  if (!Pdu)
+    return false;
+  coap_add_token(Pdu, Token.size(),
+                 reinterpret_cast<const std::uint8_t *>(Token.data()));
+  if (Observe)
+    addOption(Pdu, COAP_OPTION_OBSERVE, "");
+  for (const std::string &Segment : Path)
+    addOption(Pdu, COAP_OPTION_URI_PATH, Segment);
+  for (const std::string &Part : Query)
+    addOption(Pdu, COAP_OPTION_URI_QUERY, Part);
+  if (!Echo.empty())
+    addOption(Pdu, COAP_OPTION_ECHO, Echo);
+  return coap_send(Session, Pdu) != COAP_INVALID_MID;
+}
+
+std::string attemptId(const Request &R) {
+  return absl::StrCat(R.Id, ".", R.Attempt);
+}
+
+void sendAttempt(Caller &C, Request &R) {
+  coap_session_t *Session = C.Sessions[R.Session];
+  R.Token = newToken(Session);
+  const auto Code = R.Kind == RequestKind::Sheet ? COAP_REQUEST_CODE_GET
+                                                 : COAP_REQUEST_CODE_POST;
+  sendPdu(Session, Code, R.Token, false, R.Path,
+          {absl::StrCat("id=", attemptId(R)),
+           absl::StrCat("service=", C.Options.Service)},
+          R.Echo);
+}
+
+void registerLine(Caller &C, Line &L) {
+  coap_session_t *Session = C.Sessions[L.Session];
+  L.Token = newToken(Session);
+  L.Phase = LinePhase::Registering;
+  L.LastHeard = steady_clock::now();
+  ++L.SilentRegistrations;
+  sendPdu(Session, COAP_REQUEST_CODE_GET, L.Token, true, L.Path,
+          {absl::StrCat("service=", C.Options.Service)}, "");
+}
+
+const char *kindName(RequestKind Kind) {
+  switch (Kind) {
+  case RequestKind::Sheet:
+    return "sheet";
+  case RequestKind::Confirm:
+    return "confirm";
+  case RequestKind::OpenLine:
+    return "open_line";
+  }
+  return "";
+}
+
+void recordLine(Caller &C, std::size_t Index, const char *Event,
+                const std::string &Reason) {
+  const auto Age = steady_clock::now() - C.Started;
+  C.Records->write(
+      {{"kind", "line"},
+       {"id", absl::StrCat(C.Options.Name, "-line-", Index)},
+       {"event", Event},
+       {"reason", Reason},
+       {"at_ms", std::chrono::duration_cast<milliseconds>(Age).count()}});
+}
+
+/// Ends a request with \p Outcome ("answered", "not_run" or "unknown").
+void finish(Caller &C, std::list<Request>::iterator R, const char *Outcome,
+            bool Wrong, const std::string &Reason) {
+  const auto Took = steady_clock::now() - R->Started;
+  C.Records->write(
+      {{"kind", "request"},
+       {"id", R->Id},
+       {"what", kindName(R->Kind)},
+       {"service", C.Options.Service},
+       {"attempts", R->Attempt + 1},
+       {"outcome", Outcome},
+       {"wrong", Wrong},
+       {"reason", Reason},
+       {"ms", std::chrono::duration_cast<milliseconds>(Took).count()}});
+  if (R->Kind == RequestKind::OpenLine &&
+      C.Lines[R->Line].Phase == LinePhase::Opening)
+    C.Lines[R->Line].Phase = LinePhase::Idle;
+  C.Open.erase(R);
+}
+
+bool mayRetry(const Caller &C, const Request &R) {
+  if (steady_clock::now() + MostBackoff - R.Started > C.Options.Deadline)
+    return false;
+  return C.Retries < FreeRetries + RetryBudget * C.Sent;
+}
+
+/// Starts another attempt after a jittered pause, or ends the request.
+void retryOrFinish(Caller &C, std::list<Request>::iterator R,
+                   const char *Outcome, const std::string &Reason) {
+  if (!mayRetry(C, *R)) {
+    finish(C, R, Outcome, false, Reason);
+    return;
+  }
+  ++C.Retries;
+  ++R->Attempt;
+  R->Token.clear();
+  R->Echo.clear();
+  std::uniform_int_distribution<std::int64_t> Pause(LeastBackoff.count(),
+                                                    MostBackoff.count());
+  R->RetryAt = steady_clock::now() + milliseconds(Pause(C.Random));
+}
+
+std::string expectedBody(const Caller &C, const Request &R) {
+  if (R.Kind == RequestKind::Sheet)
+    return sheetBody(C.Options.Service, attemptId(R), C.Options.SheetBytes);
+  return absl::StrCat(C.Options.Service, "/", attemptId(R));
+}
+
+void takeSuccess(Caller &C, std::list<Request>::iterator R,
+                 const coap_pdu_t *Pdu) {
+  if (R->Kind != RequestKind::OpenLine) {
+    const bool Wrong = bodyText(Pdu) != expectedBody(C, *R);
+    finish(C, R, "answered", Wrong, Wrong ? "body differs" : "");
+    return;
+  }
+  Line &L = C.Lines[R->Line];
+  L.Path = optionValues(Pdu, COAP_OPTION_LOCATION_PATH);
+  L.Session = R->Session;
+  L.SilentRegistrations = 0;
+  const bool Wrong = L.Path.empty();
+  if (!Wrong)
+    registerLine(C, L);
+  finish(C, R, "answered", Wrong, Wrong ? "no location" : "");
+}
+
+void takeAnswer(Caller &C, std::list<Request>::iterator R,
+                const coap_pdu_t *Pdu) {
+  const coap_pdu_code_t Code = coap_pdu_get_code(Pdu);
+  if (COAP_RESPONSE_CLASS(Code) == 2) {
+    takeSuccess(C, R, Pdu);
+    return;
+  }
+  const std::vector<std::string> Echo = optionValues(Pdu, COAP_OPTION_ECHO);
+  if (Code == COAP_RESPONSE_CODE_UNAUTHORIZED && !Echo.empty()) {
+    R->Echo = Echo.front();
+    sendAttempt(C, *R);
+    return;
+  }
+  const std::string Body = bodyText(Pdu);
+  const std::string Reason =
+      absl::StrCat(COAP_RESPONSE_CLASS(Code), ".", Code & 0x1F, " ", Body);
+  if (Body.find("\"not-run\"") != std::string::npos) {
+    C.Records->write({{"kind", "refused"}, {"id", attemptId(*R)}});
+    retryOrFinish(C, R, "not_run", Reason);
+    return;
+  }
+  if (R->Kind == RequestKind::Sheet) {
+    retryOrFinish(C, R, "unknown", Reason);
+    return;
+  }
+  finish(C, R, "unknown", false, Reason);
+}
+
+void breakLine(Caller &C, Line &L, const std::string &Reason) {
+  recordLine(C, static_cast<std::size_t>(&L - C.Lines.data()), "broken",
+             Reason);
+  L = Line{};
+}
+
+void takeNotification(Caller &C, Line &L, const coap_pdu_t *Pdu) {
+  const coap_pdu_code_t Code = coap_pdu_get_code(Pdu);
+  if (COAP_RESPONSE_CLASS(Code) != 2) {
+    breakLine(C, L,
+              absl::StrCat(COAP_RESPONSE_CLASS(Code), ".", Code & 0x1F, " ",
+                           bodyText(Pdu)));
+    return;
+  }
+  if (!bodyText(Pdu).starts_with(C.Options.Service + "/line/")) {
+    C.Records->write({{"kind", "wrong_notification"}});
+    return;
+  }
+  if (L.Phase != LinePhase::Open)
+    recordLine(C, static_cast<std::size_t>(&L - C.Lines.data()), "open", "");
+  L.Phase = LinePhase::Open;
+  L.LastHeard = steady_clock::now();
+  L.SilentRegistrations = 0;
+}
+
+coap_response_t onResponse(coap_session_t *Session, const coap_pdu_t *,
+                           const coap_pdu_t *Pdu, const coap_mid_t) {
+  Caller &C = callerOf(Session);
+  const std::string Token = tokenOf(Pdu);
+  const std::size_t Index = sessionIndex(C, Session);
+  for (Line &L : C.Lines)
+    if (L.Session == Index && !L.Token.empty() && L.Token == Token) {
+      takeNotification(C, L, Pdu);
+      return COAP_RESPONSE_OK;
+    }
+  for (auto R = C.Open.begin(); R != C.Open.end(); ++R)
+    if (R->Session == Index && !R->Token.empty() && R->Token == Token) {
+      takeAnswer(C, R, Pdu);
+      return COAP_RESPONSE_OK;
+    }
+  // A late answer to an attempt that has ended, or to a registration that was
+  // replaced: its token matches nothing and nothing is taken from it.
+  return COAP_RESPONSE_OK;
+}
+
+void onNack(coap_session_t *Session, const coap_pdu_t *Sent,
+            const coap_nack_reason_t Reason, const coap_mid_t) {
+  if (!Sent)
+    return;
+  Caller &C = callerOf(Session);
+  const std::string Token = tokenOf(Sent);
+  const std::size_t Index = sessionIndex(C, Session);
+  for (auto R = C.Open.begin(); R != C.Open.end(); ++R)
+    if (R->Session == Index && R->Token == Token) {
+      finish(C, R, "unknown", false, absl::StrCat("nack ", Reason));
+      return;
+    }
+}
+
+Request newRequest(Caller &C, RequestKind Kind) {
+  Request R;
+  R.Kind = Kind;
+  R.Id = absl::StrCat(C.Options.Name, "-", C.Sent++);
+  R.Started = steady_clock::now();
+  return R;
+}
+
+/// Adds a request and sends its first attempt.
+void start(Caller &C, Request R) {
+  C.Open.push_back(std::move(R));
+  sendAttempt(C, C.Open.back());
+}
+
+void startRequest(Caller &C) {
+  std::uniform_int_distribution<unsigned> Percent(0, 99);
+  std::uniform_int_distribution<std::size_t> Pick(0, C.Options.Sessions - 1);
+  const bool Sheet = Percent(C.Random) < C.Options.SheetPercent;
+  Request R = newRequest(C, Sheet ? RequestKind::Sheet : RequestKind::Confirm);
+  R.Session = Pick(C.Random);
+  R.Path = {Sheet ? "sheet" : "confirm"};
+  if (!Sheet && !C.Lines.empty() && Percent(C.Random) % 2 == 0) {
+    const Line &L = C.Lines[Pick(C.Random) % C.Lines.size()];
+    if (L.Phase == LinePhase::Open) {
+      R.Path = L.Path;
+      R.Session = L.Session;
+    }
+  }
+  start(C, std::move(R));
+}
+
+/// Opens lines that are idle, and watches open ones.
+void tendLine(Caller &C, std::size_t Index) {
+  Line &L = C.Lines[Index];
+  const auto Now = steady_clock::now();
+  if (L.Phase == LinePhase::Idle) {
+    Request R = newRequest(C, RequestKind::OpenLine);
+    R.Path = {"line"};
+    R.Line = Index;
+    R.Session = C.Options.Sessions + Index;
+    L.Phase = LinePhase::Opening;
+    start(C, std::move(R));
+    return;
+  }
+  if (L.Phase == LinePhase::Opening ||
+      Now - L.LastHeard < C.Options.LineSilence)
+    return;
+  if (L.SilentRegistrations >= MostSilentRegistrations) {
+    breakLine(C, L, "silent");
+    return;
+  }
+  recordLine(C, Index, "registered_again", "silent");
+  registerLine(C, L);
+}
+
+/// Gives a line a new port.
+void rebindLine(Caller &C, std::size_t Index) {
+  Line &L = C.Lines[Index];
+  if (L.Phase != LinePhase::Open || L.Rebound)
+    return;
+  coap_session_release(C.Sessions[L.Session]);
+  C.Sessions[L.Session] = openSession(C);
+  L.Rebound = true;
+  recordLine(C, Index, "rebound", "");
+  registerLine(C, L);
+}
+
+void runTimers(Caller &C) {
+  const auto Now = steady_clock::now();
+  for (auto R = C.Open.begin(); R != C.Open.end();) {
+    const auto This = R++;
+    if (Now - This->Started > C.Options.Deadline)
+      finish(C, This, "unknown", false, "deadline");
+    else if (This->Token.empty() && Now >= This->RetryAt)
+      sendAttempt(C, *This);
+  }
+  const bool SecondHalf = Now - C.Started > C.Options.Duration / 2;
+  for (std::size_t I = 0; I < C.Lines.size(); ++I) {
+    tendLine(C, I);
+    if (SecondHalf && I < C.Options.RebindLines)
+      rebindLine(C, I);
+  }
+}
+
+} // namespace
+
+bool startCaller(Caller &C) {
+  startCoap();
+  C.Records = std::make_unique<RecordWriter>(C.Options.RecordFile);
+  C.Random.seed(C.Options.Seed);
+  C.Started = steady_clock::now();
+  C.Context = coap_new_context(nullptr);
+  if (!C.Context)
+    return false;
+  coap_set_app_data(C.Context, &C);
+  coap_context_set_block_mode(C.Context,
+                              COAP_BLOCK_USE_LIBCOAP | COAP_BLOCK_SINGLE_BODY);
+  coap_register_response_handler(C.Context, onResponse);
+  coap_register_nack_handler(C.Context, onNack);
+  for (unsigned I = 0; I < C.Options.Sessions + C.Options.Lines; ++I)
+    C.Sessions.push_back(openSession(C));
+  C.Lines.resize(C.Options.Lines);
+  return std::find(C.Sessions.begin(), C.Sessions.end(), nullptr) ==
+         C.Sessions.end();
+}
+
+void runCaller(Caller &C) {
+  constexpr unsigned PollMillis = 5;
+  constexpr milliseconds TimerStep{20};
+  jasminearch::TimePoint NextTimers{};
+  unsigned Started = 0;
+  while (!C.Stopping) {
+    coap_io_process(C.Context, PollMillis);
+    const auto Now = steady_clock::now();
+    const auto Age =
+        std::chrono::duration_cast<milliseconds>(Now - C.Started).count();
+    const auto Due =
+        static_cast<std::uint64_t>(Age) * C.Options.RequestsPerSecond / 1000;
+    while (Started < C.Options.Requests && Started < Due) {
+      startRequest(C);
+      ++Started;
+    }
+    if (Now >= NextTimers) {
+      runTimers(C);
+      NextTimers = Now + TimerStep;
+    }
+    const bool Over = Now - C.Started >= C.Options.Duration;
+    const bool Waiting =
+        std::any_of(C.Open.begin(), C.Open.end(), [](const Request &R) {
+          return R.Kind != RequestKind::OpenLine;
+        });
+    if (Over && Started == C.Options.Requests && !Waiting)
+      break;
+  }
+  for (auto R = C.Open.begin(); R != C.Open.end();)
+    finish(C, R++, "unknown", false, "stopped");
+  for (std::size_t I = 0; I < C.Lines.size(); ++I)
+    recordLine(C, I, C.Lines[I].Phase == LinePhase::Open ? "whole" : "not_open",
+               "end");
+  for (coap_session_t *Session : C.Sessions)
+    coap_session_release(Session);
+  coap_free_context(C.Context);
+  coap_cleanup();
+}
+
+} // namespace standins
