Add the replicated log of the control hosts

Only its interface existed.

The decisions are free functions over NodeState in node.h: pre-vote, leader lease, check quorum, learners, membership changes by one host at a time. log_store.h is the disk, messages.h the CBOR messages, replicated_log.cpp joins them. A step is written and synced before its messages leave; if the write fails, the node goes back to what the disk holds.

Ruled out: a copy of the node for each step, to undo a failed write (it copies the whole log); one log record for a batch (a full disk could then not be reported by propose()). Each record tells instead how much of the file was synced when it was written, which separates a torn tail from damage in the middle even if several records were unsynced.

--- a/include/jasminearch/consensus/replicated_log.h
+++ b/include/jasminearch/consensus/replicated_log.h
@@ -2,6 +2,7 @@
 #define JASMINEARCH_CONSENSUS_REPLICATED_LOG_H
 
 #include "jasminearch/clock.h"
+#include "jasminearch/consensus/log_entry.h"
 #include "jasminearch/error.h"
 #include "jasminearch/types.h"
 #include <functional>
@@ -13,15 +14,7 @@
 /// The replicated log of the control hosts.
 namespace jasminearch::consensus {
 
-/// One control host as its peers know it.
-struct Member {
-  std::string Host;
-  /// Identifies the data folder. Empty while it isn't known.
-  std::string StorageId;
-  bool Voter = false;
-
-  auto operator<=>(const Member &) const = default;
-};
+class DataFolder;
 
 /// Settings of one control host's copy of the log.
 struct ReplicatedLogOptions {
@@ -30,7 +23,10 @@
   /// Names of all control hosts, this one included.
   std::vector<std::string> Hosts;
   std::string DataFolder;
-  /// Create the data folder as one of the first members.
+  /// Create the data folder as one of the first members; all of Hosts become
+  /// voters. Only for the very first boot: a folder that is in use is refused
+  /// with StorageAlreadyInitialized. Without it, a host whose folder is empty
+  /// joins as a learner and becomes a voter once it has caught up.
   bool Bootstrap = false;
   /// Seeds the election timeouts.
   std::uint64_t Seed = 0;
@@ -39,18 +35,25 @@
 };
 
 /// How the log acts on its surroundings. All are called from inside the log's
-/// own member functions.
+/// own member functions, and may call propose() but no other of them that
+/// changes the log.
 struct ReplicatedLogHandlers {
   /// Sends a consensus message to another control host; may drop it.
   std::function<void(const std::string &Host, Bytes Message)> SendToPeer;
-  /// An entry is committed. Called once for each, in order.
+  /// An entry is committed. Called once for each, in order. Revisions increase
+  /// but have gaps: the log keeps entries of its own.
   std::function<void(Revision At, const Bytes &Entry)> Committed;
   /// Replaces the state by a snapshot as of \p At.
   std::function<Expected<void>(Revision At, const Bytes &State)> Restore;
   /// \returns the state as of the last committed entry.
   std::function<Bytes()> Capture;
-  /// This host became leader (true) or ceased to be (false).
+  /// This host became leader (true) or ceased to be (false). It is told that it
+  /// leads once all entries of earlier leaders have been through Committed.
   std::function<void(bool Leading)> LeadershipChanged;
+  /// A write failed outside propose(); may be empty. After StorageFull the log
+  /// goes on, and what could not be written is tried again. After any other
+  /// error it does nothing more until the folder is opened again.
+  std::function<void(const Error &Failure)> StorageFailed;
 };
 
 /// One control host's copy of the replicated log. Single-threaded: all members
@@ -65,19 +68,26 @@
   /// Handles a message from \p Host.
   virtual void receive(const std::string &Host, const Bytes &Message) = 0;
 
+  /// Writes all entries proposed since the last call with one sync and sends
+  /// them. tick() does the same; call this to not wait for it.
+  virtual void flush() { tick(); }
+
   /// Appends an entry. \returns the revision it gets if it is committed;
-  /// whether it is shows in Committed. NotLeader or StorageFull otherwise.
+  /// whether it is shows in Committed. Otherwise NotLeader; NoQuorum if this
+  /// host leads but no quorum confirmed it within the lease; StorageFull, with
+  /// the log unchanged; or StorageUnavailable.
   virtual Expected<Revision> propose(Bytes Entry) = 0;
 
   /// Whether this host leads and may answer reads: a quorum confirmed it within
-  /// the lease.
+  /// the lease, and all entries of earlier leaders have been through Committed.
   virtual bool leaseHeld() const = 0;
 
   /// \returns the leader's host name if one is known.
   virtual std::optional<std::string> leader() const = 0;
 
   /// \returns the time since a quorum was last confirmed, here as the leader or
-  /// as told by the leader.
+  /// as told by the leader; Duration::max() if that was never shown. Messages
+  /// that arrive late do not make it look more recent.
   virtual Duration quorumAge() const = 0;
 
   virtual Revision committed() const = 0;
@@ -91,6 +101,16 @@
 openReplicatedLog(ReplicatedLogOptions Options, const Clock &Time,
                   ReplicatedLogHandlers Handlers);
 
+/// As above, over \p Folder instead of Options.DataFolder.
+Expected<std::unique_ptr<ReplicatedLog>>
+openReplicatedLog(std::unique_ptr<DataFolder> Folder,
+                  ReplicatedLogOptions Options, const Clock &Time,
+                  ReplicatedLogHandlers Handlers);
+
+/// \returns the storage id that bootstrap gives \p Host of \p Cluster.
+std::string bootstrapStorageId(const std::string &Cluster,
+                               const std::string &Host);
+
 } // namespace jasminearch::consensus
 
 #endif // JASMINEARCH_CONSENSUS_REPLICATED_LOG_H
--- /dev/null
+++ b/src/consensus/node.cpp
@@ -0,0 +1,262 @@
+#include "jasminearch/consensus/node.h"
+#include "jasminearch/consensus/detail/node_steps.h"
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace jasminearch::consensus {
+
+using namespace detail;
+
+namespace {
+
+/// Next number of the splitmix64 sequence.
+std::uint64_t nextRandom(std::uint64_t &State) {
+  State += 0x9E3779B97F4A7C15U;
+  std::uint64_t Mixed = State;
+  Mixed = (Mixed ^ (Mixed >> 30U)) * 0xBF58476D1CE4E5B9U;
+  Mixed = (Mixed ^ (Mixed >> 27U)) * 0x94D049BB133111EBU;
+  return Mixed ^ (Mixed >> 31U);
+}
+
+/// Takes over what the disk holds.
+void adopt(NodeState &Node, StoredState Stored) {
+  Node.Hard = std::move(Stored.Hard);
+  Node.Log = std::move(Stored.Log);
+  Node.LatestSnapshot = std::move(Stored.LatestSnapshot);
+  Node.Synced = lastIndex(Node.Log);
+  Node.Memberships.clear();
+  const LogIndex From = Node.LatestSnapshot ? Node.LatestSnapshot->Index : 0;
+  Node.Memberships.push_back({From, Node.LatestSnapshot
+                                        ? Node.LatestSnapshot->Members
+                                        : std::vector<Member>()});
+  for (const LogEntry &Entry : Node.Log.Entries) {
+    if (Entry.Index > From)
+      trackAppended(Node, Entry);
+  }
+  Node.Committed = std::max(Node.Committed, From);
+  Node.CommittedWhenSynced = Node.Committed;
+}
+
+} // namespace
+
+namespace detail {
+
+void send(const NodeState &Node, Effects &Out, const std::string &Host,
+          const std::string &ToStorage, MessageBody Body) {
+  Out.Messages.push_back({Host,
+                          {Node.Options.StorageId, ToStorage, Node.Hard.Current,
+                           std::move(Body)}});
+}
+
+void armElection(NodeState &Node, TimePoint Now, Duration Min, Duration Max) {
+  const auto Span = static_cast<std::uint64_t>((Max - Min).count());
+  const std::uint64_t Part = nextRandom(Node.RandomState) % Span;
+  Node.ElectionDue = Now + Min + Duration(static_cast<Duration::rep>(Part));
+}
+
+void becomeFollower(NodeState &Node, Term InTerm, Effects &Out, TimePoint Now) {
+  assert(InTerm >= Node.Hard.Current);
+  if (InTerm > Node.Hard.Current) {
+    Node.Hard = HardState{InTerm, {}};
+    Node.Leader.clear();
+    Out.WriteHardState = true;
+  }
+  if (Node.Is == Role::Leader) {
+    Node.QuorumShownAt = Now - quorumAge(Node, Now);
+    Node.Leader.clear();
+  }
+  if (Node.Is != Role::Follower)
+    armElection(Node, Now, ElectionTimeoutMin, ElectionTimeoutMax);
+  Node.Is = Role::Follower;
+  Node.Votes.clear();
+  Node.Incoming.reset();
+  Node.Peers.clear();
+  Node.Joining.clear();
+}
+
+bool isVoter(const std::vector<Member> &Members, const StorageRef &Who) {
+  return std::any_of(Members.begin(), Members.end(), [&Who](const Member &M) {
+    return M.Voter && M.Host == Who.Host && M.StorageId == Who.StorageId;
+  });
+}
+
+StorageRef self(const NodeState &Node) {
+  return {Node.Options.Host, Node.Options.StorageId};
+}
+
+void trackAppended(NodeState &Node, const LogEntry &Entry) {
+  if (Entry.Kind != EntryKind::Membership)
+    return;
+  // Both codecs have checked the payload.
+  auto Members = decodeMembers(Entry.Payload);
+  if (Members)
+    Node.Memberships.push_back({Entry.Index, std::move(*Members)});
+}
+
+void trackTruncated(NodeState &Node) {
+  while (Node.Memberships.size() > 1 &&
+         Node.Memberships.back().Index > lastIndex(Node.Log))
+    Node.Memberships.pop_back();
+}
+
+std::int64_t toStamp(const NodeState &Node, TimePoint At) {
+  const auto Time = static_cast<std::uint64_t>(At.time_since_epoch().count());
+  const auto Offset = static_cast<std::uint64_t>(Node.Options.StampOffset);
+  return static_cast<std::int64_t>(Time + Offset);
+}
+
+std::optional<TimePoint> fromStamp(const NodeState &Node, std::int64_t Stamp,
+                                   TimePoint From, TimePoint To) {
+  const auto Offset = static_cast<std::uint64_t>(Node.Options.StampOffset);
+  const std::uint64_t Time = static_cast<std::uint64_t>(Stamp) - Offset;
+  const TimePoint At{Duration(static_cast<Duration::rep>(Time))};
+  if (At < From || At > To)
+    return std::nullopt;
+  return At;
+}
+
+} // namespace detail
+
+NodeState makeNode(NodeOptions Options, StoredState Stored, TimePoint Now) {
+  NodeState Node;
+  Node.Options = std::move(Options);
+  Node.RandomState = Node.Options.Seed;
+  Node.StartedAt = Now;
+  Node.LeaderHeardAt = Now;
+  Node.JoinDue = Now;
+  adopt(Node, std::move(Stored));
+  armElection(Node, Now, ElectionTimeoutMin, ElectionTimeoutMax);
+  return Node;
+}
+
+void recover(NodeState &Node, StoredState Stored, TimePoint Now) {
+  if (Node.Is != Role::Follower) {
+    Effects Dropped;
+    becomeFollower(Node, Node.Hard.Current, Dropped, Now);
+  }
+  if (Node.Hard.Current != Stored.Hard.Current)
+    Node.Leader.clear();
+  Node.Incoming.reset();
+  // The step that could not be written may have committed entries that replace
+  // others still on disk.
+  Node.Committed = Node.CommittedWhenSynced;
+  adopt(Node, std::move(Stored));
+}
+
+Effects tick(NodeState &Node, TimePoint Now) {
+  Effects Out;
+  if (Node.Is == Role::Leader)
+    runLeaderTimers(Node, Out, Now);
+  else
+    runElectionTimer(Node, Out, Now);
+  runJoinTimer(Node, Out, Now);
+  return Out;
+}
+
+Effects receive(NodeState &Node, const std::string &Host,
+                const Message &Received, TimePoint Now) {
+  Effects Out;
+  if (Host == Node.Options.Host)
+    return Out;
+  const bool ForThisFolder = Received.ToStorage.empty() ||
+                             Received.ToStorage == Node.Options.StorageId;
+  if (!ForThisFolder) {
+    // The sender believes in another data folder of this host.
+    if (std::holds_alternative<AppendRequest>(Received.Body))
+      send(Node, Out, Host, Received.FromStorage, JoinRequest{});
+    return Out;
+  }
+  if (const auto *Vote = std::get_if<VoteRequest>(&Received.Body))
+    onVoteRequest(Node, Host, Received, *Vote, Out, Now);
+  else if (const auto *Reply = std::get_if<VoteReply>(&Received.Body))
+    onVoteReply(Node, Host, Received, *Reply, Out, Now);
+  else if (const auto *Append = std::get_if<AppendRequest>(&Received.Body))
+    onAppendRequest(Node, Host, Received, *Append, Out, Now);
+  else if (const auto *Appended = std::get_if<AppendReply>(&Received.Body))
+    onAppendReply(Node, Host, Received, *Appended, Out, Now);
+  else if (const auto *Chunk = std::get_if<SnapshotChunk>(&Received.Body))
+    onSnapshotChunk(Node, Host, Received, *Chunk, Out, Now);
+  else if (const auto *Taken = std::get_if<SnapshotReply>(&Received.Body))
+    onSnapshotReply(Node, Host, Received, *Taken, Out, Now);
+  else
+    onJoinRequest(Node, Host, Received, Now);
+  return Out;
+}
+
+Expected<LogEntry> prepareProposal(const NodeState &Node, Bytes Payload,
+                                   TimePoint Now) {
+  if (Node.Is != Role::Leader)
+    return fail(ErrorCode::NotLeader, Node.Leader.empty()
+                                          ? "no leader is known"
+                                          : "the leader is " + Node.Leader);
+  if (!quorumConfirmed(Node, Now))
+    return fail(ErrorCode::NoQuorum,
+                "no quorum confirmed this leader within the lease");
+  return LogEntry{lastIndex(Node.Log) + 1, Node.Hard.Current, EntryKind::Data,
+                  std::move(Payload)};
+}
+
+void acceptProposal(NodeState &Node, LogEntry Entry) {
+  assert(Entry.Index == lastIndex(Node.Log) + 1);
+  Node.Log.Entries.push_back(std::move(Entry));
+}
+
+void markSynced(NodeState &Node) {
+  Node.Synced = lastIndex(Node.Log);
+  if (Node.Is == Role::Leader)
+    advanceCommit(Node);
+  Node.CommittedWhenSynced = Node.Committed;
+}
+
+Effects replicate(NodeState &Node, TimePoint Now) {
+  Effects Out;
+  if (Node.Is != Role::Leader)
+    return Out;
+  for (const auto &[Host, Unused] : Node.Peers)
+    sendToPeer(Node, Host, false, Out, Now);
+  return Out;
+}
+
+void compact(NodeState &Node, std::shared_ptr<const Snapshot> Latest,
+             LogIndex KeepEntries) {
+  assert(Latest->Index <= Node.Committed);
+  const LogIndex DropThrough =
+      Latest->Index > KeepEntries ? Latest->Index - KeepEntries : 0;
+  if (DropThrough > Node.Log.BaseIndex)
+    discardThrough(Node.Log, DropThrough);
+  auto &Lists = Node.Memberships;
+  while (Lists.size() > 1 && Lists[1].Index <= Latest->Index)
+    Lists.erase(Lists.begin());
+  Node.LatestSnapshot = std::move(Latest);
+}
+
+const std::vector<Member> &membersOf(const NodeState &Node) {
+  return Node.Memberships.back().Members;
+}
+
+const std::vector<Member> &membersAt(const NodeState &Node, LogIndex Index) {
+  auto At = Node.Memberships.size() - 1;
+  while (At > 0 && Node.Memberships[At].Index > Index)
+    --At;
+  return Node.Memberships[At].Members;
+}
+
+bool quorumConfirmed(const NodeState &Node, TimePoint Now) {
+  return Node.Is == Role::Leader &&
+         Now - quorumConfirmedAt(Node, Now) < LeaseDuration;
+}
+
+bool leaseHeld(const NodeState &Node, TimePoint Now) {
+  return quorumConfirmed(Node, Now) && Node.Committed >= Node.TermStart;
+}
+
+Duration quorumAge(const NodeState &Node, TimePoint Now) {
+  const Duration Shown =
+      Node.QuorumShownAt ? Now - *Node.QuorumShownAt : Duration::max();
+  if (Node.Is != Role::Leader)
+    return Shown;
+  return std::min(Shown, Now - quorumConfirmedAt(Node, Now));
+}
+
+} // namespace jasminearch::consensus
--- /dev/null
+++ b/src/consensus/node_membership.cpp
@@ -0,0 +1,142 @@
+#include "jasminearch/consensus/detail/node_steps.h"
+#include "jasminearch/consensus/node.h"
+#include <algorithm>
+#include <utility>
+
+namespace jasminearch::consensus::detail {
+
+namespace {
+
+/// A JoinRequest older than this is forgotten.
+constexpr Duration JoinMemory = 3 * JoinInterval;
+
+bool answeredWithin(const NodeState &Node, const Member &M, Duration Limit,
+                    TimePoint Now) {
+  const auto At = Node.Peers.find(M.Host);
+  return At != Node.Peers.end() && At->second.StorageId == M.StorageId &&
+         At->second.ConfirmedAt && Now - *At->second.ConfirmedAt < Limit;
+}
+
+bool caughtUp(const NodeState &Node, const Member &M, TimePoint Now) {
+  return answeredWithin(Node, M, LeaseDuration, Now) &&
+         Node.Peers.at(M.Host).Match >= Node.CommittedAtHeartbeat;
+}
+
+/// Makes the first learner that has caught up a voter.
+bool promote(const NodeState &Node, std::vector<Member> &Members,
+             TimePoint Now) {
+  for (Member &M : Members) {
+    if (M.Voter || !caughtUp(Node, M, Now))
+      continue;
+    M.Voter = true;
+    return true;
+  }
+  return false;
+}
+
+/// Adds a data folder as a learner, in place of any other of the same host. A
+/// folder that still answers is not replaced: the request is an old one, or
+/// two processes use one host name.
+bool admit(const NodeState &Node, std::vector<Member> &Members,
+           const StorageRef &Joiner, TimePoint Now) {
+  const auto At =
+      std::find_if(Members.begin(), Members.end(), [&Joiner](const Member &M) {
+        return M.Host == Joiner.Host;
+      });
+  if (At == Members.end()) {
+    Members.push_back({Joiner.Host, Joiner.StorageId, false});
+    return true;
+  }
+  if (At->StorageId == Joiner.StorageId ||
+      answeredWithin(Node, *At, ElectionTimeoutMax, Now))
+    return false;
+  *At = Member{Joiner.Host, Joiner.StorageId, false};
+  return true;
+}
+
+/// \returns whether a change may start: an entry of this leader's own term is
+/// committed, which also commits any change of an earlier leader, and no change
+/// is under way.
+bool mayChange(const NodeState &Node, TimePoint Now) {
+  return Node.Committed >= Node.TermStart &&
+         Node.Memberships.back().Index <= Node.Committed &&
+         quorumConfirmed(Node, Now);
+}
+
+} // namespace
+
+void trackPeers(NodeState &Node) {
+  std::map<std::string, Peer> Tracked;
+  for (const Member &M : membersOf(Node)) {
+    if (M.Host == Node.Options.Host)
+      continue;
+    const auto At = Node.Peers.find(M.Host);
+    if (At != Node.Peers.end() && At->second.StorageId == M.StorageId) {
+      Tracked.emplace(M.Host, std::move(At->second));
+      continue;
+    }
+    Peer New;
+    New.StorageId = M.StorageId;
+    New.Next = lastIndex(Node.Log) + 1;
+    Tracked.emplace(M.Host, std::move(New));
+  }
+  Node.Peers = std::move(Tracked);
+}
+
+void appendOwn(NodeState &Node, EntryKind Kind, Bytes Payload, Effects &Out) {
+  const LogIndex Index = lastIndex(Node.Log) + 1;
+  Node.Log.Entries.push_back(
+      {Index, Node.Hard.Current, Kind, std::move(Payload)});
+  trackAppended(Node, Node.Log.Entries.back());
+  if (Kind == EntryKind::Membership)
+    trackPeers(Node);
+  if (!Out.WriteFrom)
+    Out.WriteFrom = Index;
+}
+
+void onJoinRequest(NodeState &Node, const std::string &Host,
+                   const Message &Received, TimePoint Now) {
+  const auto &Known = Node.Options.Hosts;
+  if (Node.Is != Role::Leader ||
+      std::find(Known.begin(), Known.end(), Host) == Known.end())
+    return;
+  Node.Joining[Host] = {Received.FromStorage, Now};
+}
+
+void changeMembership(NodeState &Node, Effects &Out, TimePoint Now) {
+  std::erase_if(Node.Joining, [Now](const auto &Request) {
+    return Now - Request.second.second > JoinMemory;
+  });
+  if (!mayChange(Node, Now))
+    return;
+  std::vector<Member> Members = membersOf(Node);
+  bool Changed = promote(Node, Members, Now);
+  for (const auto &[Host, Request] : Node.Joining) {
+    if (!Changed)
+      Changed = admit(Node, Members, {Host, Request.first}, Now);
+  }
+  if (!Changed)
+    return;
+  appendOwn(Node, EntryKind::Membership, encodeMembers(Members), Out);
+  for (const auto &[Host, Unused] : Node.Peers)
+    sendToPeer(Node, Host, false, Out, Now);
+}
+
+void runJoinTimer(NodeState &Node, Effects &Out, TimePoint Now) {
+  if (Now < Node.JoinDue)
+    return;
+  Node.JoinDue = Now + JoinInterval;
+  const auto &Members = membersOf(Node);
+  const bool Known =
+      std::any_of(Members.begin(), Members.end(), [&Node](const Member &M) {
+        return StorageRef{M.Host, M.StorageId} == self(Node);
+      });
+  if (Known)
+    return;
+  for (const std::string &Host : Node.Options.Hosts) {
+    if (Host != Node.Options.Host)
+      send(Node, Out, Host, "", JoinRequest{});
+  }
+}
+
+} // namespace jasminearch::consensus::detail
