Add the fabric stand-in

Cause: nothing sprayed callers' datagrams over entry hosts with the faults that the promises must hold under.

Change: jasminearch-fabric listens on service addresses, hands each datagram behind a PROXY header to a random entry host and sends answers from the service's address, with seeded delay, loss, duplication and reordering. Text commands on a loopback UDP port add, remove, cut and heal entry hosts and set the loss. What happens to a datagram is planned by pure functions; all random numbers of a copy are always drawn, so that one fault doesn't change the fate of later datagrams under the same seed.

--- /dev/null
+++ b/standins/jasminearch_fabric.cpp
@@ -0,0 +1,207 @@
+#include "jasminearch/settings.h"
+#include "standins/lib/fabric_loop.h"
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <atomic>
+#include <csignal>
+#include <getopt.h>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <thread>
+
+using namespace jasminearch;
+using namespace standins;
+
+namespace {
+
+constexpr const char *Usage =
+    R"(jasminearch-fabric: hands callers' datagrams to random entry hosts.
+
+  --service A.B.C.D:PORT    service address to listen on; repeatable
+  --entries LIST            entry hosts, separated by commas; repeatable
+  --return A.B.C.D:PORT     takes answers of entry hosts
+  --control A.B.C.D:PORT    takes text commands over UDP (loopback only):
+                            add, remove, cut, heal ENTRY; loss SHARE; counts
+  --seed N                  of delay, loss, duplication, reordering (default 1)
+  --delay MS                one-way delay (default 0)
+  --jitter MS               most added to the delay at random (default 0)
+  --loss SHARE              0 to 1 (default 0)
+  --duplicate SHARE         0 to 1 (default 0)
+  --reorder SHARE           0 to 1 (default 0)
+  --reorder-delay MS        added to reordered datagrams (default 5)
+  --help
+
+SIGTERM and SIGINT print the counts as one JSON line and end the program.
+)";
+
+struct Options {
+  FabricAddresses Places;
+  FabricState Start;
+  bool Help = false;
+};
+
+bool readEndpoint(const std::string &Text, Endpoint &Out) {
+  const auto Parsed = parseEndpoint(Text);
+  if (Parsed)
+    Out = *Parsed;
+  else
+    std::cerr << toString(Parsed.error()) << '\n';
+  return Parsed.has_value();
+}
+
+bool readEntries(const std::string &List, std::vector<FabricEntry> &Out) {
+  for (const auto &Text : absl::StrSplit(List, ',', absl::SkipEmpty())) {
+    FabricEntry Entry;
+    if (!readEndpoint(std::string(Text), Entry.Address))
+      return false;
+    Out.push_back(Entry);
+  }
+  return true;
+}
+
+bool readService(const std::string &Text, std::vector<Endpoint> &Out) {
+  Out.emplace_back();
+  return readEndpoint(Text, Out.back());
+}
+
+bool readShare(const char *Text, double &Out) {
+  if (absl::SimpleAtod(Text, &Out) && Out >= 0 && Out <= 1)
+    return true;
+  std::cerr << Text << " is no share from 0 to 1\n";
+  return false;
+}
+
+bool readMilliseconds(const char *Text, Duration &Out) {
+  constexpr double MaxMilliseconds = 60'000;
+  double Value = 0;
+  if (!absl::SimpleAtod(Text, &Value) ||
+      !(Value >= 0 && Value <= MaxMilliseconds)) {
+    std::cerr << Text << " is no time from 0 to 60000 ms\n";
+    return false;
+  }
+  Out = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Value));
+  return true;
+}
+
+bool readSeed(const char *Text, FabricState &Start) {
+  std::uint64_t Seed = 0;
+  if (!absl::SimpleAtoi(Text, &Seed)) {
+    std::cerr << Text << " is no seed\n";
+    return false;
+  }
+  Start.Random.seed(Seed);
+  return true;
+}
+
+bool readOption(int Letter, const char *Text, Options &Out) {
+  FabricFaults &Faults = Out.Start.Faults;
+  switch (Letter) {
+  case 's':
+    return readService(Text, Out.Places.Services);
+  case 'e':
+    return readEntries(Text, Out.Start.Entries);
+  case 'r':
+    return readEndpoint(Text, Out.Places.Return);
+  case 'c':
+    return readEndpoint(Text, Out.Places.Control);
+  case 'S':
+    return readSeed(Text, Out.Start);
+  case 'd':
+    return readMilliseconds(Text, Faults.Delay);
+  case 'j':
+    return readMilliseconds(Text, Faults.Jitter);
+  case 'R':
+    return readMilliseconds(Text, Faults.ReorderDelay);
+  case 'l':
+    return readShare(Text, Faults.Loss);
+  case 'D':
+    return readShare(Text, Faults.Duplicate);
+  case 'o':
+    return readShare(Text, Faults.Reorder);
+  default:
+    Out.Help = Letter == 'h';
+    return Out.Help;
+  }
+}
+
+bool isLoopback(const Endpoint &E) {
+  constexpr unsigned FirstOctetShift = 24;
+  constexpr std::uint32_t LoopbackOctet = 127;
+  return E.Address >> FirstOctetShift == LoopbackOctet;
+}
+
+bool isComplete(const Options &Parsed) {
+  if (Parsed.Help)
+    return true;
+  if (Parsed.Places.Services.empty() || Parsed.Places.Return.Port == 0) {
+    std::cerr << "--service and --return are needed\n";
+    return false;
+  }
+  if (!isLoopback(Parsed.Places.Control)) {
+    std::cerr << "--control is needed and must be a loopback address\n";
+    return false;
+  }
+  return true;
+}
+
+std::optional<Options> parseOptions(int Argc, char **Argv) {
+  constexpr option Known[] = {
+      {"service", required_argument, nullptr, 's'},
+      {"entries", required_argument, nullptr, 'e'},
+      {"return", required_argument, nullptr, 'r'},
+      {"control", required_argument, nullptr, 'c'},
+      {"seed", required_argument, nullptr, 'S'},
+      {"delay", required_argument, nullptr, 'd'},
+      {"jitter", required_argument, nullptr, 'j'},
+      {"reorder-delay", required_argument, nullptr, 'R'},
+      {"loss", required_argument, nullptr, 'l'},
+      {"duplicate", required_argument, nullptr, 'D'},
+      {"reorder", required_argument, nullptr, 'o'},
+      {"help", no_argument, nullptr, 'h'},
+      {nullptr, 0, nullptr, 0}};
+  Options Parsed;
+  Parsed.Start.Random.seed(1);
+  int Letter = 0;
+  while ((Letter = getopt_long(Argc, Argv, "", Known, nullptr)) != -1)
+    if (!readOption(Letter, optarg, Parsed))
+      return std::nullopt;
+  if (optind != Argc || !isComplete(Parsed))
+    return std::nullopt;
+  return Parsed;
+}
+
+/// Blocks the signals that end the program, in this and all later threads.
+sigset_t blockStopSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  return Signals;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  const auto Parsed = parseOptions(Argc, Argv);
+  if (!Parsed || Parsed->Help) {
+    (Parsed ? std::cout : std::cerr) << Usage;
+    return Parsed ? 0 : 2;
+  }
+  const sigset_t Signals = blockStopSignals();
+  auto Loop = FabricLoop::open(Parsed->Places, Parsed->Start);
+  if (!Loop) {
+    std::cerr << toString(Loop.error()) << '\n';
+    return 1;
+  }
+  std::atomic<bool> Stop{false};
+  std::thread Serving([&] { Loop->run(Stop); });
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  Stop = true;
+  Serving.join();
+  std::cout << toJson(Loop->counts()) << '\n';
+  return 0;
+}
--- /dev/null
+++ b/standins/lib/fabric.cpp
@@ -0,0 +1,186 @@
+#include "standins/lib/fabric.h"
+#include "jasminearch/settings.h"
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace standins {
+
+namespace {
+
+using jasminearch::Duration;
+using jasminearch::Endpoint;
+using jasminearch::TimePoint;
+
+/// A random share, 0 to 1. Not a standard distribution, because those differ
+/// between libraries.
+double draw(FabricState &State) {
+  constexpr unsigned MantissaBits = 53;
+  return static_cast<double>(State.Random() >> (64 - MantissaBits)) /
+         static_cast<double>(std::uint64_t{1} << MantissaBits);
+}
+
+/// Random numbers of one copy. All are drawn for every copy, so that one fault
+/// doesn't change the fate of later datagrams under the same seed.
+struct CopyDraws {
+  double Entry;
+  double Loss;
+  double Jitter;
+  double Reorder;
+};
+
+CopyDraws drawCopy(FabricState &State) {
+  CopyDraws Result{};
+  Result.Entry = draw(State);
+  Result.Loss = draw(State);
+  Result.Jitter = draw(State);
+  Result.Reorder = draw(State);
+  return Result;
+}
+
+TimePoint dueTime(FabricState &State, const CopyDraws &Draws, TimePoint Now) {
+  const FabricFaults &Faults = State.Faults;
+  const auto Jitter = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, Duration::period>(
+          static_cast<double>(Faults.Jitter.count()) * Draws.Jitter));
+  const bool Reordered = Draws.Reorder < Faults.Reorder;
+  State.Counts.Reordered += Reordered ? 1 : 0;
+  return Now + Faults.Delay + Jitter +
+         (Reordered ? Faults.ReorderDelay : Duration::zero());
+}
+
+bool isCut(const FabricState &State, const Endpoint &Address) {
+  return std::any_of(
+      State.Entries.begin(), State.Entries.end(),
+      [&](const FabricEntry &E) { return E.Cut && E.Address == Address; });
+}
+
+/// Adds a copy to \p Plan unless it gets lost.
+void addCopy(FabricState &State, PlannedCopies &Plan, const CopyDraws &Draws,
+             const Endpoint &To, TimePoint Now) {
+  if (Draws.Loss < State.Faults.Loss) {
+    ++State.Counts.Lost;
+    return;
+  }
+  Plan.Copies[Plan.Count] = {To, dueTime(State, Draws, Now)};
+  ++Plan.Count;
+}
+
+/// Plans the copies of one datagram; \p Target gives each its destination.
+template <typename TargetOf>
+PlannedCopies planCopies(FabricState &State, TimePoint Now, TargetOf Target) {
+  const bool Twice = draw(State) < State.Faults.Duplicate;
+  const CopyDraws First = drawCopy(State);
+  const CopyDraws Second = drawCopy(State);
+  PlannedCopies Plan;
+  addCopy(State, Plan, First, Target(First), Now);
+  if (!Twice)
+    return Plan;
+  ++State.Counts.Duplicated;
+  addCopy(State, Plan, Second, Target(Second), Now);
+  return Plan;
+}
+
+/// Removes copies to entry hosts that are cut.
+void loseAtCuts(FabricState &State, PlannedCopies &Plan) {
+  const std::size_t Before = Plan.Count;
+  const auto End = std::remove_if(
+      Plan.Copies.begin(),
+      Plan.Copies.begin() + static_cast<std::ptrdiff_t>(Plan.Count),
+      [&](const PlannedCopy &Copy) { return isCut(State, Copy.To); });
+  Plan.Count = static_cast<std::size_t>(End - Plan.Copies.begin());
+  State.Counts.LostAtCut += Before - Plan.Count;
+}
+
+std::string setLoss(FabricState &State, const std::string &Argument) {
+  double Share = 0;
+  if (!absl::SimpleAtod(Argument, &Share) || !(Share >= 0 && Share <= 1))
+    return "error: loss is a share from 0 to 1";
+  State.Faults.Loss = Share;
+  return "ok";
+}
+
+std::string changeEntry(FabricState &State, const std::string &Verb,
+                        const Endpoint &Address) {
+  auto &Entries = State.Entries;
+  const auto Found =
+      std::find_if(Entries.begin(), Entries.end(),
+                   [&](const FabricEntry &E) { return E.Address == Address; });
+  const bool Known = Found != Entries.end();
+  if (Verb == "add" && Known)
+    return "error: already there";
+  if (Verb != "add" && !Known)
+    return "error: no such entry host";
+  if (Verb == "add")
+    Entries.push_back({Address});
+  else if (Verb == "remove")
+    Entries.erase(Found);
+  else
+    Found->Cut = Verb == "cut";
+  return "ok";
+}
+
+} // namespace
+
+PlannedCopies planToEntries(FabricState &State, TimePoint Now) {
+  ++State.Counts.FromCallers;
+  if (State.Entries.empty()) {
+    ++State.Counts.NoEntry;
+    return {};
+  }
+  PlannedCopies Plan = planCopies(State, Now, [&](const CopyDraws &Draws) {
+    const auto Count = static_cast<double>(State.Entries.size());
+    return State.Entries[static_cast<std::size_t>(Draws.Entry * Count)].Address;
+  });
+  loseAtCuts(State, Plan);
+  return Plan;
+}
+
+PlannedCopies planToCaller(FabricState &State, const Endpoint &From,
+                           const Endpoint &Caller, TimePoint Now) {
+  ++State.Counts.FromEntries;
+  if (isCut(State, From)) {
+    ++State.Counts.LostAtCut;
+    return {};
+  }
+  return planCopies(State, Now, [&](const CopyDraws &) { return Caller; });
+}
+
+std::string runFabricCommand(FabricState &State, std::string_view Command) {
+  std::istringstream Words{std::string(Command)};
+  std::string Verb;
+  std::string Argument;
+  Words >> Verb >> Argument;
+  if (Verb == "counts")
+    return toJson(State.Counts);
+  if (Verb == "loss")
+    return setLoss(State, Argument);
+  if (Verb != "add" && Verb != "remove" && Verb != "cut" && Verb != "heal")
+    return "error: commands are add, remove, cut, heal, loss and counts";
+  const auto Address = jasminearch::parseEndpoint(Argument);
+  if (!Address)
+    return "error: " + jasminearch::toString(Address.error());
+  return changeEntry(State, Verb, *Address);
+}
+
+std::string toJson(const FabricCounts &Counts) {
+  const nlohmann::ordered_json Object{{"from_callers", Counts.FromCallers},
+                                      {"to_entries", Counts.ToEntries},
+                                      {"from_entries", Counts.FromEntries},
+                                      {"to_callers", Counts.ToCallers},
+                                      {"lost", Counts.Lost},
+                                      {"lost_at_cut", Counts.LostAtCut},
+                                      {"duplicated", Counts.Duplicated},
+                                      {"reordered", Counts.Reordered},
+                                      {"no_entry", Counts.NoEntry},
+                                      {"bad_header", Counts.BadHeader},
+                                      {"unknown_source", Counts.UnknownSource},
+                                      {"overflow", Counts.Overflow},
+                                      {"send_failed", Counts.SendFailed},
+                                      {"late_over_100us", Counts.Late},
+                                      {"latest_us", Counts.LatestMicroseconds}};
+  return Object.dump();
+}
+
+} // namespace standins
