--- a/include/jasminearch/link/link.h
+++ b/include/jasminearch/link/link.h
@@ -19,7 +19,10 @@
 /// Limits that a hub enforces on what others send it.
 struct LinkLimits {
   std::size_t MaxMessageBytes = 16U << 20U;
-  std::size_t MaxLinks = 4096;
+  /// Links that others opened; further ones are refused during the handshake.
+  std::size_t MaxLinks = 6000;
+  /// A link whose other side lets more than this pile up is closed.
+  std::size_t MaxQueuedBytes = 64U << 20U;
 };
 
 /// Called on the hub's thread, never concurrently.
@@ -27,7 +30,8 @@
   /// A link is open; \p Incoming tells whether the other side opened it.
   std::function<void(LinkId, bool Incoming)> Opened;
   std::function<void(LinkId, std::vector<std::uint8_t>)> Received;
-  /// A link closed, or a connection attempt failed.
+  /// A link closed, or a connection attempt failed. Follows exactly once for
+  /// each link that was opened or attempted, unless the hub is stopped.
   std::function<void(LinkId)> Closed;
 };
 
@@ -41,13 +45,18 @@
   /// be bound.
   virtual bool listen(const std::string &Address, std::uint16_t Port) = 0;
 
+  /// \returns the port that listen() bound, zero before; tells the port that
+  /// the system chose when listen() was called with zero.
+  virtual std::uint16_t listeningPort() const = 0;
+
   /// Starts to open a link; Opened or Closed follows.
   virtual LinkId connect(const std::string &Address, std::uint16_t Port) = 0;
 
   /// Queues a message. Unknown and closed links ignore it.
   virtual void send(LinkId Id, const std::vector<std::uint8_t> &Message) = 0;
 
-  /// Closes a link; Closed follows.
+  /// Closes a link once its queued messages are sent, at the latest after one
+  /// second. Nothing is received from it any more; Closed follows soon.
   virtual void close(LinkId Id) = 0;
 
   /// Bytes queued on a link that the other side hasn't taken yet.
--- /dev/null
+++ b/tests/link_websocket_test.cpp
@@ -0,0 +1,189 @@
+#include "jasminearch/link/link.h"
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+using namespace jasminearch::link;
+using Text = std::vector<std::uint8_t>;
+
+namespace {
+
+constexpr auto Localhost = "127.0.0.1";
+
+/// One hub that links to itself, and what its handlers saw.
+struct Loop {
+  explicit Loop(LinkLimits Limits = {}) {
+    LinkHandlers H;
+    H.Opened = [this](LinkId Id, bool Incoming) {
+      (Incoming ? Accepted : Dialled).push_back(Id);
+    };
+    H.Received = [this](LinkId Id, Text Message) {
+      Received[Id].push_back(std::move(Message));
+    };
+    H.Closed = [this](LinkId Id) { ++Closed[Id]; };
+    Hub = makeWebsocketHub(std::move(H), Limits);
+    CPPUNIT_ASSERT(Hub->listen(Localhost, 0));
+  }
+
+  LinkId dial() { return Hub->connect(Localhost, Hub->listeningPort()); }
+
+  /// Serves until \p Done or for at most 5 s. \returns whether it was done.
+  template <typename Condition> bool serveUntil(Condition Done) {
+    const auto Limit =
+        std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    bool Reached = false;
+    Hub->every(5, [this, Done, Limit, &Reached] {
+      Reached = Reached || Done();
+      if (Reached || std::chrono::steady_clock::now() > Limit)
+        Hub->stop();
+    });
+    Hub->run();
+    return Reached;
+  }
+
+  std::vector<LinkId> Accepted;
+  std::vector<LinkId> Dialled;
+  std::map<LinkId, std::vector<Text>> Received;
+  std::map<LinkId, int> Closed;
+  std::unique_ptr<LinkHub> Hub;
+};
+
+class WebsocketLinkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WebsocketLinkTest);
+  CPPUNIT_TEST(carriesMessagesBothWays);
+  CPPUNIT_TEST(reportsFailedAttempts);
+  CPPUNIT_TEST(refusesAPortInUse);
+  CPPUNIT_TEST(closesOnOversizedMessages);
+  CPPUNIT_TEST(refusesLinksOverTheLimit);
+  CPPUNIT_TEST(closesALinkWhoseQueueIsFull);
+  CPPUNIT_TEST(survivesBytesThatAreNoWebsocket);
+  CPPUNIT_TEST(sendsWhatIsQueuedBeforeClosing);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against messages that are merged, reordered or cut.
+  void carriesMessagesBothWays() {
+    Loop L;
+    L.dial();
+    CPPUNIT_ASSERT(L.serveUntil([&] {
+      if (L.Dialled.empty() || L.Accepted.empty())
+        return false;
+      if (L.Received.empty()) {
+        L.Hub->send(L.Dialled[0], {1, 2, 3});
+        L.Hub->send(L.Dialled[0], {});
+        L.Hub->send(L.Accepted[0], Text(100'000, 7));
+      }
+      return L.Received[L.Accepted[0]].size() >= 2 &&
+             !L.Received[L.Dialled[0]].empty();
+    }));
+    const std::vector<Text> &Up = L.Received[L.Accepted[0]];
+    CPPUNIT_ASSERT(Up[0] == Text({1, 2, 3}));
+    CPPUNIT_ASSERT(Up[1].empty());
+    CPPUNIT_ASSERT(L.Received[L.Dialled[0]][0] == Text(100'000, 7));
+  }
+
+  /// Guards against a client that waits forever for a dead control host.
+  void reportsFailedAttempts() {
+    Loop L;
+    constexpr std::uint16_t ClosedPort = 1;
+    const LinkId Id = L.Hub->connect(Localhost, ClosedPort);
+    CPPUNIT_ASSERT(L.serveUntil([&] { return L.Closed[Id] > 0; }));
+    CPPUNIT_ASSERT_EQUAL(1, L.Closed[Id]);
+  }
+
+  /// Guards against two daemons that believe they serve the same port.
+  void refusesAPortInUse() {
+    Loop First;
+    Loop Second;
+    CPPUNIT_ASSERT(!makeWebsocketHub({}, {})->listen(
+        Localhost, First.Hub->listeningPort()));
+    CPPUNIT_ASSERT(!makeWebsocketHub({}, {})->listen("no address", 0));
+  }
+
+  /// Guards against a sender that exhausts the receiver's memory.
+  void closesOnOversizedMessages() {
+    LinkLimits Small;
+    Small.MaxMessageBytes = 1000;
+    Loop L(Small);
+    const LinkId Id = L.dial();
+    CPPUNIT_ASSERT(L.serveUntil([&] {
+      if (!L.Dialled.empty())
+        L.Hub->send(Id, Text(1001, 1));
+      return L.Closed[Id] > 0;
+    }));
+    CPPUNIT_ASSERT(L.Received.empty());
+  }
+
+  /// Guards against links that use up the process's descriptors.
+  void refusesLinksOverTheLimit() {
+    LinkLimits Few;
+    Few.MaxLinks = 3;
+    Loop L(Few);
+    for (int I = 0; I < 5; ++I)
+      L.dial();
+    CPPUNIT_ASSERT(L.serveUntil([&] { return L.Closed.size() == 2; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), L.Accepted.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), L.Dialled.size());
+  }
+
+  /// Guards against a frozen receiver for which the sender buffers forever.
+  void closesALinkWhoseQueueIsFull() {
+    LinkLimits Short;
+    Short.MaxQueuedBytes = 10'000;
+    Loop L(Short);
+    const LinkId Id = L.dial();
+    std::size_t MostQueued = 0;
+    CPPUNIT_ASSERT(L.serveUntil([&] {
+      for (int I = 0; I < 10 && !L.Dialled.empty(); ++I) {
+        L.Hub->send(Id, Text(4000, 1));
+        MostQueued = std::max(MostQueued, L.Hub->queuedBytes(Id));
+      }
+      return L.Closed[Id] > 0;
+    }));
+    CPPUNIT_ASSERT(MostQueued > 0);
+    CPPUNIT_ASSERT(MostQueued <= Short.MaxQueuedBytes);
+  }
+
+  /// Guards against a crash or a leaked link when something else connects.
+  void survivesBytesThatAreNoWebsocket() {
+    Loop L;
+    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in To{};
+    To.sin_family = AF_INET;
+    To.sin_port = htons(L.Hub->listeningPort());
+    To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CPPUNIT_ASSERT_EQUAL(
+        0, ::connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof To));
+    const std::string Garbage(3000, '\x81');
+    CPPUNIT_ASSERT(::write(Socket, Garbage.data(), Garbage.size()) > 0);
+    L.dial();
+    CPPUNIT_ASSERT(L.serveUntil([&] { return !L.Accepted.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), L.Accepted.size());
+    ::close(Socket);
+  }
+
+  /// Guards against a refusal that is lost because the link closes after it.
+  void sendsWhatIsQueuedBeforeClosing() {
+    Loop L;
+    const LinkId Id = L.dial();
+    bool Sent = false;
+    CPPUNIT_ASSERT(L.serveUntil([&] {
+      if (!Sent && !L.Accepted.empty() && !L.Dialled.empty()) {
+        L.Hub->send(L.Accepted[0], Text(50'000, 9));
+        L.Hub->close(L.Accepted[0]);
+        Sent = true;
+      }
+      return L.Closed[Id] > 0 && L.Closed[L.Accepted[0]] > 0;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), L.Received[Id].size());
+    CPPUNIT_ASSERT_EQUAL(1, L.Closed[L.Accepted[0]]);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WebsocketLinkTest);
+
+} // namespace
