Decide control commands and encode the control state

Cause: the other modules need the control state machine and its codec. The change: apply decides every command with typed refusals that leave the state unchanged, rebalanceBuckets gives each service its table, and the codec writes CBOR in which a table lists its distinct buckets once. Decoders accept only what the encoders write, so malformed bytes can't alter a replica. parseCbor limits nesting, because the parser of nlohmann::json is recursive. Ruled out: 12 bytes for each bucket (6 KB a table; 27 MB at 4,400 services, above the 16 MB limit of a link message). Conclusion: usable by consensus and distribution; sequences of changes and cost at the target scale are not measured yet.

--- a/include/jasminearch/control/codec.h
+++ b/include/jasminearch/control/codec.h
@@ -32,6 +32,14 @@
 void to_json(nlohmann::json &Out, const OutcomeReport &Value);
 void from_json(const nlohmann::json &In, OutcomeReport &Value);
 
+/// Deepest nesting of arrays and objects in a CBOR message. Ours have six.
+inline constexpr int MaxCborDepth = 16;
+
+/// Parses CBOR from outside the process. \returns MessageMalformed for invalid
+/// CBOR and for nesting beyond MaxCborDepth, which would exhaust the stack of
+/// the recursive parser.
+Expected<nlohmann::json> parseCbor(const Bytes &Encoded);
+
 /// CBOR forms for the log and its snapshots. Decoders return MessageMalformed
 /// for anything that encode doesn't write.
 Bytes encodeCommand(const Command &Value);
--- a/include/jasminearch/control/command.h
+++ b/include/jasminearch/control/command.h
@@ -62,6 +62,8 @@
 struct SetDrain {
   std::string UpstreamName;
   bool Draining = true;
+  /// Revision at which the operator saw the upstream. Refused if an operator
+  /// has given an order since; warm-up steps and restarts don't matter.
   Revision Expected;
   auto operator<=>(const SetDrain &) const = default;
 };
@@ -76,6 +78,14 @@
   auto operator<=>(const AnnounceEntry &) const = default;
 };
 
+/// A cold upstream takes a larger share: \p Step parts of WarmUpSteps.
+struct WarmUpstream {
+  UpstreamId Id;
+  Incarnation Instance;
+  std::uint8_t Step = 1;
+  auto operator<=>(const WarmUpstream &) const = default;
+};
+
 /// An upstream is ready after its cold start.
 struct ActivateUpstream {
   UpstreamId Id;
@@ -96,9 +106,10 @@
   auto operator<=>(const RetireEntry &) const = default;
 };
 
-using CommandBody = std::variant<PutProfile, RemoveProfile, PutService,
-                                 SetDrain, AnnounceUpstream, AnnounceEntry,
-                                 ActivateUpstream, RetireUpstream, RetireEntry>;
+using CommandBody =
+    std::variant<PutProfile, RemoveProfile, PutService, SetDrain,
+                 AnnounceUpstream, AnnounceEntry, ActivateUpstream,
+                 RetireUpstream, RetireEntry, WarmUpstream>;
 
 /// One entry of the replicated log above the consensus layer.
 struct Command {
--- a/include/jasminearch/control/config_model.h
+++ b/include/jasminearch/control/config_model.h
@@ -70,6 +70,9 @@
   Lost = 3,
 };
 
+/// Steps in which the share of a cold upstream grows to a full one.
+inline constexpr std::uint8_t WarmUpSteps = 4;
+
 /// An upstream with its agent.
 struct Upstream {
   UpstreamId Id;
@@ -84,6 +87,13 @@
   Incarnation Instance;
   UpstreamPhase Phase = UpstreamPhase::Cold;
   Revision Changed;
+  /// Share of buckets in parts of WarmUpSteps: 1 after an announcement,
+  /// WarmUpSteps once active.
+  std::uint8_t WarmUp = 1;
+  /// An operator has ordered a drain. Outlives restarts of the agent.
+  bool DrainOrdered = false;
+  /// Revision of the last operator's order, or of the first announcement.
+  Revision Ordered;
 
   auto operator<=>(const Upstream &) const = default;
 };
