Test the replicated log under faults

Two failures at first, both of the schedule or the interface, not of the protocol: - seed 9: the schedule took a second disk while the first was not repaired, which loses a majority. It now compares the storage ids of the leader's list with the present disks. - seed 71: the leader's list showed a promotion that was not committed, so "repaired" was claimed too early. members() now gives the committed list.

--- a/include/jasminearch/consensus/replicated_log.h
+++ b/include/jasminearch/consensus/replicated_log.h
@@ -91,6 +91,10 @@
   virtual Duration quorumAge() const = 0;
 
   virtual Revision committed() const = 0;
+
+  /// \returns the members as of committed(). A host that is listed as a voter
+  /// with its present storage id is fully repaired; until then the loss of
+  /// another disk may be one too many.
   virtual std::vector<Member> members() const = 0;
 };
 
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -133,7 +133,9 @@
 
   Revision committed() const override { return Revision{Applied}; }
 
-  std::vector<Member> members() const override { return membersOf(Node); }
+  std::vector<Member> members() const override {
+    return membersAt(Node, Applied);
+  }
 
 private:
   void carryOut(const Effects &Step) {
--- a/tests/consensus_fakes.cpp
+++ b/tests/consensus_fakes.cpp
@@ -191,6 +191,7 @@
 
 void Exchange::loseDisk(unsigned At) {
   host(At).Log.reset();
+  host(At).StorageId.clear();
   host(At).Disk = std::make_shared<FakeDisk>();
 }
 
@@ -207,7 +208,7 @@
   BytesSent += Content.size();
   if (!host(From).Disk->logSynced())
     Violation = host(From).Name + " sent before its disk was synced";
-  checkLeader(From, Content);
+  checkContent(From, Content);
   std::uniform_real_distribution<double> Chance(0, 1);
   for (unsigned At = 0; At < count(); ++At) {
     if (host(At).Name != To || CutOff.contains(From) || CutOff.contains(At))
@@ -223,12 +224,13 @@
   }
 }
 
-void Exchange::checkLeader(unsigned From, const Bytes &Content) {
+void Exchange::checkContent(unsigned From, const Bytes &Content) {
   const auto Decoded = decodeMessage(Content);
   if (!Decoded) {
     Violation = "sent a message that can't be decoded";
     return;
   }
+  host(From).StorageId = Decoded->FromStorage;
   if (!std::holds_alternative<AppendRequest>(Decoded->Body))
     return;
   const std::string Sender = host(From).Name + Decoded->FromStorage;
--- a/tests/consensus_fakes.h
+++ b/tests/consensus_fakes.h
@@ -44,6 +44,8 @@
 public:
   struct Host {
     std::string Name;
+    /// Storage id that its latest message told. Empty after a lost disk.
+    std::string StorageId;
     std::shared_ptr<FakeDisk> Disk = std::make_shared<FakeDisk>();
     ManualClock Time;
     /// Speed of this host's clock.
@@ -59,6 +61,7 @@
                     std::uint64_t SnapshotEvery = 4096);
 
   Host &host(unsigned At) { return *Hosts.at(At); }
+  const Host &host(unsigned At) const { return *Hosts.at(At); }
   unsigned count() const { return static_cast<unsigned>(Hosts.size()); }
   void addHost();
   Expected<void> start(unsigned At, bool Bootstrap = false);
@@ -100,7 +103,7 @@
     Bytes Content;
   };
   void sent(unsigned From, const std::string &To, Bytes Content);
-  void checkLeader(unsigned From, const Bytes &Content);
+  void checkContent(unsigned From, const Bytes &Content);
   void committed(Host &At, std::uint64_t Revision, const Bytes &Entry);
   void checkReads();
   ReplicatedLogHandlers handlersFor(unsigned At);
