--- a/include/jasminearch/control/distribution.h
+++ b/include/jasminearch/control/distribution.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -25,9 +26,8 @@
 /// confirmed a quorum within this time.
 inline constexpr std::chrono::milliseconds FreshQuorumLimit{2000};
 
-/// Objects that one snapshot part holds at most, weighted as in
-/// splitSnapshot(). Keeps a part near 1 MB, so that a snapshot of any size
-/// passes the limit on message size and can be paced.
+/// Estimated size of a snapshot part, so that a snapshot of any size passes the
+/// limit on message size and can be paced.
 inline constexpr std::size_t SnapshotPartBytes = 1U << 20U;
 
 /// Names one object of a Configuration.
@@ -63,6 +63,95 @@
   bool operator==(const SnapshotPart &) const = default;
 };
 
+// Sender ----------------------------------------------------------------------
+
+/// Objects of a configuration with the revision of their last change, sorted
+/// as in the configuration's maps.
+struct ObjectIndex {
+  std::vector<std::pair<std::string, Revision>> Profiles;
+  std::vector<std::pair<ServiceId, Revision>> Services;
+  std::vector<std::pair<UpstreamId, Revision>> Upstreams;
+  std::vector<std::pair<std::string, Revision>> Entries;
+  std::vector<std::pair<ServiceId, Revision>> Tables;
+};
+
+/// Objects that were added, changed or removed at one revision.
+struct Change {
+  Revision At;
+  std::vector<ObjectKey> Touched;
+};
+
+/// Changes that a control host retains for deltas.
+struct RetainedChanges {
+  /// Every change after this revision is retained.
+  Revision Base;
+  /// Oldest first.
+  std::deque<Change> Changes;
+  /// Objects as of the last change.
+  ObjectIndex Index;
+};
+
+/// Starts over from \p Current, for example after a snapshot of the log was
+/// restored: what was removed before isn't known, so that nobody behind
+/// \p Current can get a delta. Complexity: linear in the objects.
+RetainedChanges startRetaining(const Configuration &Current);
+
+/// Retains the changes of \p Current since the last call. Call it after each
+/// revision: an object that is added and removed between two calls goes
+/// unnoticed. Complexity: linear in the objects (it compares revisions only).
+void retainChange(RetainedChanges &Retained, const Configuration &Current);
+
+/// Nothing to send: the subscriber has this configuration or a later one.
+struct UpToDate {};
+
+/// The changes since the subscriber's revision aren't retained, or a delta
+/// would be larger than MaxDeltaBytes: send splitSnapshot().
+struct NeedsSnapshot {};
+
+/// Estimated size from which a delta is sent as a snapshot, which is split.
+inline constexpr std::size_t MaxDeltaBytes = 4U << 20U;
+
+/// Decides what a subscriber at \p Last is sent. A subscriber without a
+/// configuration has revision zero. Complexity: linear in the changes since
+/// \p Last.
+std::variant<UpToDate, Delta, NeedsSnapshot>
+updateFor(Revision Last, const RetainedChanges &Retained,
+          const Configuration &Current);
+
+/// Splits a configuration into parts of about SnapshotPartBytes each. There is
+/// always at least one part.
+std::vector<SnapshotPart> splitSnapshot(const Configuration &Current);
+
+// Receiver --------------------------------------------------------------------
+
+/// A daemon's configuration and the snapshot that is being received.
+struct Receiver {
+  /// Null until the first one is taken.
+  std::shared_ptr<const Configuration> InForce;
+  /// Parts received so far.
+  Configuration Collected;
+  std::uint32_t NextPart = 0;
+};
+
+/// \returns the revision in force, zero if there is none.
+Revision inForce(const Receiver &R);
+
+/// Takes a delta. \returns whether the configuration changed, or NoQuorum (a
+/// newly started process and no recent quorum), StaleRevision (older than what
+/// is in force) or RevisionFromFuture (changes between are missing).
+/// \param QuorumAge time since the sender confirmed a quorum.
+Expected<bool> takeDelta(Receiver &R, const Delta &Update,
+                         std::chrono::milliseconds QuorumAge);
+
+/// Takes one part of a snapshot; the configuration changes with the last one.
+/// \returns as takeDelta(), and MessageMalformed for a part out of order, after
+/// which the snapshot starts again with its first part.
+Expected<bool> takeSnapshotPart(Receiver &R, SnapshotPart Update,
+                                std::chrono::milliseconds QuorumAge);
+
+/// Forgets the parts of an unfinished snapshot, when its link has closed.
+void dropUnfinished(Receiver &R);
+
 } // namespace jasminearch::control
 
 #endif // JASMINEARCH_CONTROL_DISTRIBUTION_H
