--- a/include/jasminearch/control/command.h
+++ b/include/jasminearch/control/command.h
@@ -62,7 +62,7 @@
 struct SetDrain {
   std::string UpstreamName;
   bool Draining = true;
-  /// Revision at which the operator saw the upstream. Refused if an operator
+  /// Any revision at which the operator saw the upstream. Refused if an operator
   /// has given an order since; warm-up steps and restarts don't matter.
   Revision Expected;
   auto operator<=>(const SetDrain &) const = default;
@@ -106,10 +106,18 @@
   auto operator<=>(const RetireEntry &) const = default;
 };
 
+/// Removes a lost upstream that won't return from the list of upstreams.
+struct ForgetUpstream {
+  std::string UpstreamName;
+  /// As in SetDrain.
+  Revision Expected;
+  auto operator<=>(const ForgetUpstream &) const = default;
+};
+
 using CommandBody =
     std::variant<PutProfile, RemoveProfile, PutService, SetDrain,
                  AnnounceUpstream, AnnounceEntry, ActivateUpstream,
-                 RetireUpstream, RetireEntry, WarmUpstream>;
+                 RetireUpstream, RetireEntry, WarmUpstream, ForgetUpstream>;
 
 /// One entry of the replicated log above the consensus layer.
 struct Command {
--- a/src/control/codec.cpp
+++ b/src/control/codec.cpp
@@ -476,6 +476,16 @@
   read(In, "step", V.Step);
 }
 
+static void to_json(json &Out, const ForgetUpstream &V) {
+  Out = {{"upstream", V.UpstreamName}, {"expected", V.Expected}};
+}
+
+static void from_json(const json &In, ForgetUpstream &V) {
+  expectMembers(In, 2);
+  read(In, "upstream", V.UpstreamName);
+  read(In, "expected", V.Expected);
+}
+
 namespace {
 
 /// Names of the alternatives of CommandBody, in their order. Stored in logs,
@@ -484,7 +494,7 @@
     CommandNames{"put_profile",       "remove_profile",    "put_service",
                  "set_drain",         "announce_upstream", "announce_entry",
                  "activate_upstream", "retire_upstream",   "retire_entry",
-                 "warm_upstream"};
+                 "warm_upstream",     "forget_upstream"};
 
 template <std::size_t Alternative = 0>
 CommandBody readBody(const std::string &Kind, const json &In) {
--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -29,7 +29,7 @@
 constexpr auto LongestColdStart = 600'000ms;
 constexpr auto ShortestLineIdle = 1'000ms;
 constexpr auto LongestLineIdle = 7 * 24 * 3'600'000ms;
-constexpr std::uint32_t MostSlots = 1'000'000;
+constexpr std::uint32_t MostSlots = 65'536;
 
 Check refuse(ErrorCode Code, std::string Detail) {
   return fail(Code, std::move(Detail));
@@ -135,14 +135,17 @@
 
 // Bucket tables ---------------------------------------------------------------
 
+/// \returns the upstreams of a service that may own or hold something.
 std::vector<Upstream> upstreamsOf(const State &S, ServiceId Id) {
   std::vector<Upstream> Found;
   const auto *Ids = lookUp(S.Index.UpstreamsByService, Id);
   if (Ids == nullptr)
     return Found;
-  Found.reserve(Ids->size());
-  for (const UpstreamId U : *Ids)
-    Found.push_back(S.Config.Upstreams.at(U));
+  for (const UpstreamId Id : *Ids) {
+    const Upstream &U = S.Config.Upstreams.at(Id);
+    if (U.Phase != UpstreamPhase::Lost)
+      Found.push_back(U);
+  }
   return Found;
 }
 
@@ -359,18 +362,29 @@
   return U.WarmUp >= WarmUpSteps ? UpstreamPhase::Active : UpstreamPhase::Cold;
 }
 
-Check decide(State &S, const SetDrain &C, Revision At) {
-  const UpstreamId *Id = lookUp(S.Index.UpstreamsByName, C.UpstreamName);
+/// Finds an upstream for an operator who saw it at \p Seen. Changes that no
+/// operator ordered, such as warm-up steps, don't matter.
+Expected<Upstream *> findSeen(State &S, const std::string &Name, Revision Seen,
+                              Revision At) {
+  const UpstreamId *Id = lookUp(S.Index.UpstreamsByName, Name);
   if (Id == nullptr)
-    return refuse(ErrorCode::UnknownUpstream,
-                  "upstream " + C.UpstreamName + " doesn't exist");
+    return fail(ErrorCode::UnknownUpstream,
+                "upstream " + Name + " doesn't exist");
   Upstream &U = S.Config.Upstreams.at(*Id);
-  const bool Seen = C.Expected >= U.Ordered && C.Expected <= U.Changed;
-  if (!Seen)
-    if (Check Valid =
-            checkRevision("upstream " + U.Name, C.Expected, U.Changed, At);
-        !Valid)
-      return Valid;
+  if (Seen >= U.Ordered && Seen < At)
+    return &U;
+  if (Check Valid = checkRevision("upstream " + Name, Seen, U.Changed, At);
+      !Valid)
+    return tl::make_unexpected(Valid.error());
+  return &U;
+}
+
+Check decide(State &S, const SetDrain &C, Revision At) {
+  const Expected<Upstream *> Found =
+      findSeen(S, C.UpstreamName, C.Expected, At);
+  if (!Found)
+    return tl::make_unexpected(Found.error());
+  Upstream &U = **Found;
   changeUpstream(S, U, At, [&](Upstream &Value) {
     Value.DrainOrdered = C.Draining;
     Value.Ordered = At;
@@ -381,6 +395,20 @@
   return {};
 }
 
+Check decide(State &S, const ForgetUpstream &C, Revision At) {
+  const Expected<Upstream *> Found =
+      findSeen(S, C.UpstreamName, C.Expected, At);
+  if (!Found)
+    return tl::make_unexpected(Found.error());
+  if ((*Found)->Phase != UpstreamPhase::Lost)
+    return refuse(ErrorCode::InUse, "upstream " + C.UpstreamName +
+                                        " is alive; only a lost one can be "
+                                        "forgotten");
+  forgetUpstream(S, (*Found)->Id);
+  S.Config.InForce = At;
+  return {};
+}
+
 Check checkAnnouncement(const State &S, const UpstreamAnnouncement &A) {
   if (Check Valid = firstFailure({checkName("upstream name", A.Name),
                                   checkName("data centre", A.DataCentre),
