--- a/include/jasminearch/routing/entry_relay.h
+++ b/include/jasminearch/routing/entry_relay.h
@@ -1,6 +1,7 @@
 #ifndef JASMINEARCH_ROUTING_ENTRY_RELAY_H
 #define JASMINEARCH_ROUTING_ENTRY_RELAY_H
 
+#include "jasminearch/log.h"
 #include "jasminearch/net/datagram_batch.h"
 #include "jasminearch/routing/entry_counts.h"
 #include "jasminearch/routing/entry_router.h"
@@ -27,6 +28,15 @@
       std::make_shared<const RoutingSnapshot>()};
 };
 
+/// What a relay logs. Both kinds are rate-limited.
+struct RelayLog {
+  /// Whether datagrams that pass are logged, at debug level.
+  bool Datagrams = false;
+  LogLimiter Passed{20};
+  /// Datagrams that the routing refuses are logged as warnings.
+  LogLimiter Refused{1};
+};
+
 /// One direction of an entry host's traffic. One thread uses it, except for
 /// counts().
 class EntryRelay {
@@ -36,7 +46,7 @@
   /// \param Fabric where datagrams for callers go.
   EntryRelay(const RoutingSlot &Routing, const net::UdpSocket &From,
              const net::UdpSocket &To, Endpoint Return, Endpoint Fabric,
-             TraceSource Traces);
+             TraceSource Traces, RelayLog Log = {});
 
   /// Takes one batch of the fabric's datagrams and hands it to agents.
   /// \returns the number received; zero when none came in time.
@@ -54,6 +64,9 @@
                absl::Span<const std::uint8_t> Datagram);
   void answer(const RoutingSnapshot &InForce,
               absl::Span<const std::uint8_t> Datagram);
+  void logForward(const ForwardDecision &Decision);
+  void logAnswer(const wire::FrameHeader &Frame,
+                 const AnswerDecision &Decision);
   void send();
 
   const RoutingSlot &Routing;
@@ -62,6 +75,7 @@
   Endpoint Return;
   Endpoint Fabric;
   TraceSource Traces;
+  RelayLog Log;
   net::ReceiveBatch In;
   net::SendBatch Out;
   /// Guards Counts; taken once for each batch.
--- a/src/routing/entry_relay.cpp
+++ b/src/routing/entry_relay.cpp
@@ -22,13 +22,22 @@
   return Size;
 }
 
+/// Asks for the time only when a line may follow, because this is called for
+/// every datagram.
+bool shouldLog(RelayLog &Log, bool Passed) {
+  if (Passed && !Log.Datagrams)
+    return false;
+  LogLimiter &Limiter = Passed ? Log.Passed : Log.Refused;
+  return Limiter.allow(std::chrono::steady_clock::now());
+}
+
 } // namespace
 
 EntryRelay::EntryRelay(const RoutingSlot &Routing, const net::UdpSocket &From,
                        const net::UdpSocket &To, Endpoint Return,
-                       Endpoint Fabric, TraceSource Traces)
+                       Endpoint Fabric, TraceSource Traces, RelayLog Log)
     : Routing(Routing), From(From), To(To), Return(Return), Fabric(Fabric),
-      Traces(Traces) {}
+      Traces(Traces), Log(Log) {}
 
 std::size_t EntryRelay::forwardBatch() {
   const std::size_t Received = In.receive(From);
@@ -69,6 +78,7 @@
   const ForwardDecision Decision =
       decideForward(InForce, View->Header, Return, nextTrace(Traces));
   count(Counts, Decision);
+  logForward(Decision);
   if (Decision.Failure != ErrorCode{})
     return;
   const auto Size =
@@ -88,6 +98,7 @@
   }
   const AnswerDecision Decision = decideAnswer(InForce, View->Header);
   count(Counts, Decision);
+  logAnswer(View->Header, Decision);
   if (Decision.Failure != ErrorCode{})
     return;
   const std::size_t Size =
@@ -98,6 +109,34 @@
     ++Counts.Oversize;
 }
 
+void EntryRelay::logForward(const ForwardDecision &Decision) {
+  const bool Passed = Decision.Failure == ErrorCode{};
+  if (!shouldLog(Log, Passed))
+    return;
+  const wire::FrameHeader &Header = Decision.Header;
+  logEvent(Passed ? LogLevel::Debug : LogLevel::Warning,
+           Passed ? "datagram_forwarded" : "datagram_refused",
+           {{"reason", std::string(Passed ? "" : name(Decision.Failure))},
+            {"trace", Header.Trace.Number},
+            {"service", std::uint64_t{Header.Service.Number}},
+            {"upstream", std::uint64_t{Header.Upstream.Number}},
+            {"caller", toString(Header.Caller)}});
+}
+
+void EntryRelay::logAnswer(const wire::FrameHeader &Frame,
+                           const AnswerDecision &Decision) {
+  const bool Passed = Decision.Failure == ErrorCode{};
+  if (!shouldLog(Log, Passed))
+    return;
+  logEvent(Passed ? LogLevel::Debug : LogLevel::Warning,
+           Passed ? "answer_returned" : "answer_refused",
+           {{"reason", std::string(Passed ? "" : name(Decision.Failure))},
+            {"trace", Frame.Trace.Number},
+            {"service", std::uint64_t{Frame.Service.Number}},
+            {"upstream", std::uint64_t{Frame.Upstream.Number}},
+            {"caller", toString(Frame.Caller)}});
+}
+
 void EntryRelay::send() {
   const std::size_t Wanted = Out.size();
   Counts.SendFailed += Wanted - Out.flush(To);
--- a/src/routing/entry_router.cpp
+++ b/src/routing/entry_router.cpp
@@ -252,6 +252,12 @@
                               const wire::ProxyHeader &From,
                               const Endpoint &Return, TraceId Trace) {
   ForwardDecision Result;
+  Result.Header.Kind = wire::FrameKind::Forward;
+  Result.Header.InForce = Routing.InForce;
+  Result.Header.Caller = From.Source;
+  Result.Header.ServiceAddress = From.Destination;
+  Result.Header.Return = Return;
+  Result.Header.Trace = Trace;
   const auto Found = Routing.ByAddress.find(From.Destination);
   if (Found == Routing.ByAddress.end()) {
     Result.Failure = ErrorCode::UnknownServiceAddress;
@@ -266,14 +272,8 @@
   }
   const UpstreamRoute &Target = Route.Upstreams[Choice.Chosen];
   Result.Agent = Target.Agent;
-  Result.Header.Kind = wire::FrameKind::Forward;
-  Result.Header.InForce = Routing.InForce;
   Result.Header.Upstream = Target.Id;
   Result.Header.Instance = Target.Instance;
-  Result.Header.Caller = From.Source;
-  Result.Header.ServiceAddress = From.Destination;
-  Result.Header.Return = Return;
-  Result.Header.Trace = Trace;
   addCandidates(Route, Choice, Result.Header);
   return Result;
 }
