--- a/include/jasminearch/agent/flow_table.h
+++ b/include/jasminearch/agent/flow_table.h
@@ -27,8 +27,9 @@
 /// Block-wise transfers of one caller that a flow remembers.
 inline constexpr std::size_t RememberedTransfers = 8;
 
-/// Exchanges, and lines, that one caller may have open. Further requests are
-/// refused, so that one caller cannot use up the agent's memory.
+/// Exchanges, and lines, that one caller may have open, so that one caller
+/// cannot use up the agent's memory. Further requests are refused; a further
+/// line replaces the oldest one.
 inline constexpr std::size_t MaxExchangesPerFlow = 64;
 inline constexpr std::size_t MaxLinesPerFlow = 64;
 
--- a/include/jasminearch/agent/handover.h
+++ b/include/jasminearch/agent/handover.h
@@ -24,8 +24,10 @@
 };
 
 /// Stops \p Current for good and encodes what a successor needs: permit key,
-/// incarnation, run id, agent time, flows with their local ports, request
-/// records, issued permits, routes and promise counts. Times are passed as
+/// incarnation, run id, agent time, configuration in force, flows with their
+/// local ports, request records, issued permits, routes and promise counts.
+/// The configuration is passed so that a successor serves at once, also while
+/// no control host can be reached. Times are passed as
 /// durations, because monotonic clocks of two processes can't be compared.
 /// \returns parts in the order in which they must be read.
 std::vector<Bytes> encodeHandover(State &Current, TimePoint Now);
--- a/src/agent/caller_side.cpp
+++ b/src/agent/caller_side.cpp
@@ -103,14 +103,16 @@
     return refuseUnrecorded(In, What);
   }
   const State &S = In.S;
-  // A request on an owned path belongs to a line that continues during a drain.
+  // A request on an owned path belongs to an established line, which continues
+  // during a drain and a stop. It is let through without a free slot too,
+  // because refusing a registration would break the line.
   const bool Leaving =
-      S.Stopping || S.UpstreamGone || (S.Draining && !What.Owned);
-  if (!Leaving && hasFreeSlot(S))
+      (S.Stopping || S.UpstreamGone || S.Draining) && !What.Owned;
+  if (What.Owned || (!Leaving && hasFreeSlot(S)))
     return deliverNew(In, What);
   if (Leaving)
     count(In, Promise::NoWorkWhenLeaving, Verdict::Held);
-  if (!What.Owned && offload(In, What))
+  if (offload(In, What))
     return;
   refuseUnrecorded(In, What);
 }
--- a/src/agent/flow_table.cpp
+++ b/src/agent/flow_table.cpp
@@ -111,9 +111,11 @@
 }
 
 void addLine(FlowTable &In, Flow &Of, const Line &New) {
-  if (findLine(Of, New.RequestToken) != nullptr ||
-      Of.Lines.size() >= MaxLinesPerFlow)
+  if (findLine(Of, New.RequestToken) != nullptr)
     return;
+  // A caller that registers again under a new token leaves the old line behind.
+  if (Of.Lines.size() >= MaxLinesPerFlow)
+    removeLine(In, Of, wire::Token(Of.Lines.front().RequestToken));
   if (Of.Lines.empty())
     In.LineFlows.splice(In.LineFlows.end(), In.PlainFlows,
                         In.PlainFlows.iterator_to(Of));
--- a/src/agent/handover.cpp
+++ b/src/agent/handover.cpp
@@ -1,5 +1,6 @@
 #include "jasminearch/agent/handover.h"
 #include "jasminearch/agent/agent_logic.h"
+#include "jasminearch/control/codec.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -17,6 +18,7 @@
   Blocks = 4,
   Routes = 5,
   End = 6,
+  Configuration = 7,
 };
 
 /// Exact, because a permit must never outlive its record by rounding.
@@ -295,6 +297,7 @@
   case PartKind::Routes:
     return readRoute(Into, Item, Now);
   case PartKind::Head:
+  case PartKind::Configuration:
   case PartKind::End:
     break;
   }
@@ -308,6 +311,13 @@
     throw std::out_of_range("part out of order");
   if (Kind == PartKind::Head)
     return readHead(Into, In, Now);
+  if (Kind == PartKind::Configuration) {
+    const auto Read = std::make_shared<const control::Configuration>(
+        In.at(1).get<control::Configuration>());
+    handle(Into, ConfigurationChanged{Read}, Now);
+    handle(Into, Announced{Into.Self, Into.Instance}, Now);
+    return;
+  }
   if (Kind == PartKind::End) {
     if (In.at(1).get<std::size_t>() != Progress.PartsSeen)
       throw std::out_of_range("parts are missing");
@@ -325,6 +335,10 @@
   Current.HandedOver = true;
   std::vector<Bytes> Out;
   Out.push_back(json::to_cbor(headJson(Current, Current.Latest)));
+  if (Current.Config != nullptr)
+    Out.push_back(json::to_cbor(
+        json::array({static_cast<unsigned>(PartKind::Configuration),
+                     json(*Current.Config)})));
   writeFlows(Current, Current.Latest, Out);
   writeRecords(Current, Current.Latest, Out);
   writeMemories(Current, Current.Latest, Out);
