Add the control daemon

Decisions are a pure function of (state, event, view); the daemon only carries out effects over links and the replicated log. Leases and warm-up steps are in control/leases.h. A leader that was itself stopped grants everyone a full lease, because heartbeats may still wait in its sockets.

--- /dev/null
+++ b/apps/jasminearch_control.cpp
@@ -0,0 +1,135 @@
+#include "jasminearch/clock.h"
+#include "jasminearch/link/control_daemon.h"
+#include "jasminearch/log.h"
+#include "jasminearch/settings.h"
+#include <csignal>
+#include <getopt.h>
+#include <iostream>
+#include <optional>
+#include <pthread.h>
+#include <string>
+#include <thread>
+
+using namespace jasminearch;
+
+namespace {
+
+constexpr auto Usage =
+    "Usage: jasminearch-control --config FILE [--check] [--bootstrap]\n"
+    "\n"
+    "Serves one control host's copy of the replicated control state.\n"
+    "\n"
+    "  --config FILE  settings (TOML)\n"
+    "  --check        check the settings and exit\n"
+    "  --bootstrap    create the data folder as one of the first members;\n"
+    "                 only for the very first start of a cluster\n"
+    "  --help         show this text and exit\n"
+    "  --version      show the version and exit\n";
+
+/// Exit status for wrong command lines, as of most programs.
+constexpr int UsageStatus = 2;
+
+struct Arguments {
+  std::string Config;
+  bool Check = false;
+  bool Bootstrap = false;
+  /// Set when the program is done after the command line.
+  std::optional<int> Exit;
+};
+
+Arguments parse(int Argc, char **Argv) {
+  const option Options[] = {{"config", required_argument, nullptr, 'c'},
+                            {"check", no_argument, nullptr, 'k'},
+                            {"bootstrap", no_argument, nullptr, 'b'},
+                            {"help", no_argument, nullptr, 'h'},
+                            {"version", no_argument, nullptr, 'v'},
+                            {nullptr, 0, nullptr, 0}};
+  Arguments A;
+  int Option = 0;
+  while ((Option = getopt_long(Argc, Argv, "", Options, nullptr)) != -1) {
+    switch (Option) {
+    case 'c':
+      A.Config = optarg;
+      break;
+    case 'k':
+      A.Check = true;
+      break;
+    case 'b':
+      A.Bootstrap = true;
+      break;
+    case 'h':
+      std::cout << Usage;
+      A.Exit = 0;
+      return A;
+    case 'v':
+      std::cout << "jasminearch-control 0.1.0\n";
+      A.Exit = 0;
+      return A;
+    default:
+      A.Exit = UsageStatus;
+      return A;
+    }
+  }
+  if (A.Config.empty() || optind < Argc) {
+    std::cerr << Usage;
+    A.Exit = UsageStatus;
+  }
+  return A;
+}
+
+/// Blocks the signals that end the program, so that one thread can wait for
+/// them. Call it before any other thread starts.
+sigset_t blockSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  return Signals;
+}
+
+int serve(const ControlSettings &Settings, bool Bootstrap) {
+  const sigset_t Signals = blockSignals();
+  const SystemClock Time;
+  auto Daemon = link::openControlDaemon(Settings, Bootstrap, Time);
+  if (!Daemon) {
+    logError("start_failed", Daemon.error());
+    return 1;
+  }
+  logEvent(LogLevel::Info, "started");
+  std::thread Waiter([&] {
+    int Signal = 0;
+    sigwait(&Signals, &Signal);
+    (*Daemon)->stop();
+  });
+  const Expected<void> Ended = (*Daemon)->run();
+  if (!Ended) {
+    logError("stopped", Ended.error());
+    // Wakes the waiting thread.
+    pthread_kill(Waiter.native_handle(), SIGTERM);
+  }
+  Waiter.join();
+  if (Ended)
+    logEvent(LogLevel::Info, "stopped");
+  return Ended ? 0 : 1;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  const Arguments A = parse(Argc, Argv);
+  if (A.Exit)
+    return *A.Exit;
+  const Expected<ControlSettings> Settings = loadControlSettings(A.Config);
+  if (!Settings) {
+    std::cerr << toString(Settings.error()) << "\n";
+    return 1;
+  }
+  if (A.Check) {
+    std::cout << A.Config << ": ok\n";
+    return 0;
+  }
+  startLog("jasminearch-control", Settings->Common.Name,
+           Settings->Common.LogLevel);
+  return serve(*Settings, A.Bootstrap);
+}
--- a/include/jasminearch/link/control_client_logic.h
+++ b/include/jasminearch/link/control_client_logic.h
@@ -113,6 +113,9 @@
   TimePoint AnnouncedAt{};
   TimePoint SubscribedAt{};
   TimePoint NextReport{};
+  /// Age of the control host's quorum as told at QuorumToldAt.
+  std::chrono::milliseconds QuorumAge{0};
+  TimePoint QuorumToldAt{};
   bool Committed = false;
   Bytes Nonce;
   control::Receiver Config;
--- a/include/jasminearch/link/messages.h
+++ b/include/jasminearch/link/messages.h
@@ -81,17 +81,17 @@
   bool operator==(const Heartbeat &) const = default;
 };
 
-/// A part of a snapshot.
+/// A part of a snapshot. Like Delta it doesn't tell the age of the quorum,
+/// because its encoding is shared between subscribers; Welcome and Heartbeat
+/// do.
 struct Snapshot {
   control::SnapshotPart Value;
-  std::chrono::milliseconds QuorumAge{0};
 
   bool operator==(const Snapshot &) const = default;
 };
 
 struct Delta {
   control::Delta Value;
-  std::chrono::milliseconds QuorumAge{0};
 
   bool operator==(const Delta &) const = default;
 };
@@ -144,7 +144,7 @@
   bool operator==(const CommandResult &) const = default;
 };
 
-/// What an operator asks. The documents are JSON objects; see
+/// What an operator asks. The documents are JSON; see
 /// control_queries.h.
 enum class QueryKind : std::uint8_t {
   Status = 0,
--- /dev/null
+++ b/src/control/leases.cpp
@@ -0,0 +1,89 @@
+#include "jasminearch/control/leases.h"
+#include "jasminearch/control/warm_up.h"
+#include <optional>
+
+namespace jasminearch::control {
+namespace {
+
+bool leaseEnded(const Leases &L, const std::string &Name, TimePoint Now) {
+  const auto Found = L.Renewed.find(Name);
+  const TimePoint From =
+      Found == L.Renewed.end() ? L.Since : std::max(Found->second, L.Since);
+  const bool Left =
+      Found != L.Renewed.end() && Found->second == TimePoint::min();
+  return Left || Now - From > LeaseLength;
+}
+
+/// Whether a proposal about \p Object may be made now; notes that it was.
+bool mayPropose(Leases &L, const std::string &Object, TimePoint Now) {
+  const auto [Entry, Added] = L.Proposed.emplace(Object, Now);
+  if (!Added && Now - Entry->second < ProposalRetry)
+    return false;
+  Entry->second = Now;
+  return true;
+}
+
+std::optional<CommandBody> warmUp(Leases &L, const Configuration &Config,
+                                  const Upstream &U, TimePoint Now) {
+  const auto Service = Config.Services.find(U.Service);
+  if (Service == Config.Services.end())
+    return std::nullopt;
+  const auto Rules = Config.Profiles.find(Service->second.ProfileName);
+  if (Rules == Config.Profiles.end())
+    return std::nullopt;
+  auto &[Instance, Since] =
+      L.Warming.try_emplace(U.Id, U.Instance, Now).first->second;
+  if (Instance != U.Instance) {
+    Instance = U.Instance;
+    Since = Now;
+  }
+  return nextWarmUp(U, Rules->second, Now - Since);
+}
+
+} // namespace
+
+Leases startLeases(TimePoint Now) {
+  Leases L;
+  L.Since = Now;
+  return L;
+}
+
+void renewLease(Leases &L, const std::string &Name, TimePoint Now) {
+  L.Renewed[Name] = Now;
+}
+
+void endLease(Leases &L, const std::string &Name) {
+  L.Renewed[Name] = TimePoint::min();
+}
+
+std::vector<CommandBody> dueCommands(Leases &L, const Configuration &Config,
+                                     TimePoint Now) {
+  std::vector<CommandBody> Due;
+  for (const auto &[Id, U] : Config.Upstreams) {
+    if (U.Phase == UpstreamPhase::Lost) {
+      L.Warming.erase(Id);
+      continue;
+    }
+    const std::string Object =
+        "upstream " + U.Name + " " + std::to_string(U.Changed.Number);
+    if (leaseEnded(L, U.Name, Now)) {
+      if (mayPropose(L, Object, Now))
+        Due.emplace_back(RetireUpstream{Id, U.Instance});
+      continue;
+    }
+    if (auto Step = warmUp(L, Config, U, Now))
+      if (mayPropose(L, Object, Now))
+        Due.push_back(std::move(*Step));
+  }
+  for (const auto &[Name, E] : Config.Entries)
+    if (E.Alive && leaseEnded(L, Name, Now) &&
+        mayPropose(L, "entry " + Name + " " + std::to_string(E.Changed.Number),
+                   Now))
+      Due.emplace_back(RetireEntry{Name});
+  for (auto It = L.Proposed.begin(); It != L.Proposed.end();)
+    It =
+        Now - It->second > ProposalRetry ? L.Proposed.erase(It) : std::next(It);
+  return Due;
+}
+
+} // namespace jasminearch::control
--- a/src/link/control_client_logic.cpp
+++ b/src/link/control_client_logic.cpp
@@ -110,6 +110,7 @@
   Claim.Nonce = S.Nonce = freshNonce();
   Claim.Proof = helloProof(S.Options.LinkKey, M.Nonce, Claim);
   S.Now = Phase::Proving;
+  S.QuorumToldAt = Now;
   send(S, Out, std::move(Claim), Now);
 }
 
@@ -125,6 +126,9 @@
     return redirect(S, Out, M.Leader->Address, Now);
   S.Now = Phase::Subscribed;
   S.SubscribedAt = Now;
+  // The age holds from when Hello was sent: Welcome may have been on its way
+  // for long.
+  S.QuorumAge = M.QuorumAge;
   sendAnnouncement(S, Out, Now);
 }
 
@@ -134,9 +138,16 @@
 void receive(ClientState &S, Effects &Out, const Heartbeat &M, TimePoint Now) {
   if (M.QuorumAge > control::FreshQuorumLimit)
     return failed(S, Out, Now);
+  S.QuorumAge = M.QuorumAge;
+  S.QuorumToldAt = Now;
   send(S, Out, Heartbeat{control::inForce(S.Config), {}}, Now);
 }
 
+std::chrono::milliseconds quorumAge(const ClientState &S, TimePoint Now) {
+  return S.QuorumAge + std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Now - S.QuorumToldAt);
+}
+
 /// Acts on what the receiver made of a snapshot part or a delta.
 void taken(ClientState &S, Effects &Out, const Expected<bool> &Changed,
            TimePoint Now) {
@@ -152,12 +163,13 @@
 
 void receive(ClientState &S, Effects &Out, Snapshot &M, TimePoint Now) {
   taken(S, Out,
-        control::takeSnapshotPart(S.Config, std::move(M.Value), M.QuorumAge),
+        control::takeSnapshotPart(S.Config, std::move(M.Value),
+                                  quorumAge(S, Now)),
         Now);
 }
 
 void receive(ClientState &S, Effects &Out, const Delta &M, TimePoint Now) {
-  taken(S, Out, control::takeDelta(S.Config, M.Value, M.QuorumAge), Now);
+  taken(S, Out, control::takeDelta(S.Config, M.Value, quorumAge(S, Now)), Now);
 }
 
 void receive(ClientState &S, Effects &Out, const Announced &M, TimePoint) {
--- a/src/link/messages.cpp
+++ b/src/link/messages.cpp
@@ -206,35 +206,32 @@
 }
 
 json write(const Snapshot &M) {
-  return json::array({json(M.Value.Part), M.Value.Index, M.Value.Last,
-                      milliseconds(M.QuorumAge)});
+  return json::array({json(M.Value.Part), M.Value.Index, M.Value.Last});
 }
 
 void read(const json &In, Snapshot &M) {
-  arrayOf(In, 4);
+  arrayOf(In, 3);
   M.Value.Part = In[0].get<control::Configuration>();
   M.Value.Index = number<std::uint32_t>(In[1]);
   M.Value.Last = In[2].get<bool>();
-  M.QuorumAge = milliseconds(In[3]);
 }
 
 json write(const Delta &M) {
   json Removed = json::array();
   for (const control::ObjectKey &Key : M.Value.Removed)
     Removed.push_back(objectKey(Key));
-  return json::array({M.Value.From.Number, json(M.Value.Changed),
-                      std::move(Removed), milliseconds(M.QuorumAge)});
+  return json::array(
+      {M.Value.From.Number, json(M.Value.Changed), std::move(Removed)});
 }
 
 void read(const json &In, Delta &M) {
-  arrayOf(In, 4);
+  arrayOf(In, 3);
   M.Value.From = strongId<Revision>(In[0]);
   M.Value.Changed = In[1].get<control::Configuration>();
   if (!In[2].is_array())
     throw FieldError("expected an array of removed objects");
   for (const json &Key : In[2])
     M.Value.Removed.push_back(objectKey(Key));
-  M.QuorumAge = milliseconds(In[3]);
 }
 
 json write(const Applied &M) { return json::array({M.InForce.Number}); }
