--- a/include/jasminearch/control/command.h
+++ b/include/jasminearch/control/command.h
@@ -62,8 +62,9 @@
 struct SetDrain {
   std::string UpstreamName;
   bool Draining = true;
-  /// Any revision at which the operator saw the upstream. Refused if an operator
-  /// has given an order since; warm-up steps and restarts don't matter.
+  /// Any revision at which the operator saw the upstream. Refused if an
+  /// operator has given an order since; warm-up steps and restarts don't
+  /// matter.
   Revision Expected;
   auto operator<=>(const SetDrain &) const = default;
 };
--- /dev/null
+++ b/src/control/ctl_output.cpp
@@ -0,0 +1,470 @@
+#include "jasminearch/control/ctl_output.h"
+#include "jasminearch/control/burn_report.h"
+#include "jasminearch/control/codec.h"
+#include "jasminearch/control/outcomes.h"
+#include "jasminearch/control/query_documents.h"
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <exception>
+#include <map>
+#include <utility>
+#include <vector>
+#include <xxhash.h>
+
+namespace jasminearch::control {
+
+using nlohmann::json;
+
+namespace {
+
+/// Text of a JSON value; bytes that are no UTF-8 are replaced.
+std::string dump(const json &Value) {
+  return Value.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+/// Reads the list \p Name of a document.
+template <typename Object>
+std::vector<Object> listOf(const json &Document, const char *Name) {
+  return Document.at(Name).get<std::vector<Object>>();
+}
+
+template <typename Object>
+std::optional<Object> findByName(const json &Document, const char *List,
+                                 const std::string &Name) {
+  for (Object &Candidate : listOf<Object>(Document, List))
+    if (Candidate.Name == Name)
+      return std::move(Candidate);
+  return std::nullopt;
+}
+
+// Profiles --------------------------------------------------------------------
+
+using Fields = std::vector<std::pair<const char *, std::string>>;
+
+Fields fieldsOf(const Profile &P) {
+  return {
+      {"max-imbalance", absl::StrFormat("%g", P.MaxImbalance)},
+      {"deadline", absl::StrCat(P.Deadline.count(), " ms")},
+      {"cold-start", absl::StrCat(P.ColdStart.count(), " ms")},
+      {"line-idle", absl::StrCat(P.LineIdleLimit.count(), " ms")},
+      {"retry-budget", absl::StrFormat("%g", P.RetryBudget)},
+      {"offload", P.Offload ? "yes" : "no"},
+      {"answered", absl::StrFormat("%g", P.Targets.Answered)},
+      {"lines-whole", absl::StrFormat("%g", P.Targets.LinesWhole)},
+      {"within-deadline", absl::StrFormat("%g", P.Targets.WithinDeadline)},
+  };
+}
+
+std::string profileText(const Profile &P) {
+  std::string Text =
+      absl::StrCat("profile ", P.Name, " at revision ", P.Changed.Number, "\n");
+  for (const auto &[Name, Value] : fieldsOf(P))
+    absl::StrAppendFormat(&Text, "  %-16s %s\n", Name, Value);
+  return Text;
+}
+
+std::string profileTable(const std::vector<Profile> &Profiles) {
+  std::string Text = absl::StrFormat("%-24s %9s %13s %11s\n", "PROFILE",
+                                     "REVISION", "MAX-IMBALANCE", "DEADLINE");
+  for (const Profile &P : Profiles)
+    absl::StrAppendFormat(&Text, "%-24s %9d %13g %8d ms\n", P.Name,
+                          P.Changed.Number, P.MaxImbalance, P.Deadline.count());
+  return Text;
+}
+
+CtlOutput unknownProfile(const CtlRequest &Request, const std::string &Name) {
+  return presentFailure(Request, {ErrorCode::UnknownProfile,
+                                  "profile " + Name + " doesn't exist"});
+}
+
+CtlOutput presentProfile(const CtlRequest &Request, const json &Document) {
+  const std::string &Name = Request.Arguments.at(0);
+  const auto P = findByName<Profile>(Document, "profiles", Name);
+  if (!P)
+    return unknownProfile(Request, Name);
+  return {Request.Json ? dump(json(*P)) : profileText(*P), "", {}};
+}
+
+CtlOutput presentDiff(const CtlRequest &Request, const json &Document) {
+  const std::string &Name = Request.Arguments.at(0);
+  const auto Left = findByName<Profile>(Document, "profiles", Name);
+  if (!Left)
+    return unknownProfile(Request, Name);
+  Profile Right = changed(*Left, Request.Changes);
+  if (Request.Arguments.size() > 1) {
+    const auto Other =
+        findByName<Profile>(Document, "profiles", Request.Arguments[1]);
+    if (!Other)
+      return unknownProfile(Request, Request.Arguments[1]);
+    Right = changed(*Other, Request.Changes);
+  }
+  json Differences = json::object();
+  std::string Text;
+  const Fields Before = fieldsOf(*Left);
+  const Fields After = fieldsOf(Right);
+  for (std::size_t I = 0; I < Before.size(); ++I) {
+    if (Before[I].second == After[I].second)
+      continue;
+    Differences[Before[I].first] = {Before[I].second, After[I].second};
+    absl::StrAppendFormat(&Text, "%-16s %s -> %s\n", Before[I].first,
+                          Before[I].second, After[I].second);
+  }
+  if (Text.empty())
+    Text = "no difference\n";
+  return {Request.Json ? dump(Differences) : Text, "", {}};
+}
+
+// Lists -----------------------------------------------------------------------
+
+std::string serviceTable(const std::vector<Service> &Services) {
+  std::string Text =
+      absl::StrFormat("%6s %-24s %-21s %-24s %9s\n", "ID", "SERVICE", "ADDRESS",
+                      "PROFILE", "REVISION");
+  for (const Service &S : Services)
+    absl::StrAppendFormat(&Text, "%6d %-24s %-21s %-24s %9d\n", S.Id.Number,
+                          S.Name, toString(S.Address), S.ProfileName,
+                          S.Changed.Number);
+  return Text;
+}
+
+std::map<ServiceId, std::string> serviceNames(const json &Document) {
+  std::map<ServiceId, std::string> Names;
+  for (const Service &S : listOf<Service>(Document, "services"))
+    Names[S.Id] = S.Name;
+  return Names;
+}
+
+/// Upstreams with names in place of numbers, for people and programs.
+json readableUpstreams(const json &Document) {
+  const auto Services = serviceNames(Document);
+  const json &Buckets = Document.at("buckets");
+  json List = json::array();
+  for (const Upstream &U : listOf<Upstream>(Document, "upstreams")) {
+    const auto Service = Services.find(U.Service);
+    List.push_back(
+        {{"id", U.Id.Number},
+         {"name", U.Name},
+         {"service", Service == Services.end() ? "" : Service->second},
+         {"data_centre", U.DataCentre},
+         {"agent", toString(U.Agent)},
+         {"slots", U.Slots},
+         {"incarnation", U.Instance.Number},
+         {"phase", name(U.Phase)},
+         {"warm_up", absl::StrCat(U.WarmUp, "/", WarmUpSteps)},
+         {"drain_ordered", U.DrainOrdered},
+         {"buckets", Buckets.value(std::to_string(U.Id.Number), 0)},
+         {"revision", U.Changed.Number}});
+  }
+  return {{"revision", Document.at("revision")}, {"upstreams", List}};
+}
+
+std::string upstreamTable(const json &Readable) {
+  std::string Text = absl::StrFormat(
+      "%6s %-24s %-20s %-12s %-21s %-9s %7s %8s\n", "ID", "UPSTREAM", "SERVICE",
+      "DATA CENTRE", "AGENT", "PHASE", "BUCKETS", "REVISION");
+  for (const json &U : Readable.at("upstreams"))
+    absl::StrAppendFormat(
+        &Text, "%6d %-24s %-20s %-12s %-21s %-9s %7d %8d%s\n",
+        U.at("id").get<std::uint64_t>(), U.at("name").get<std::string>(),
+        U.at("service").get<std::string>(),
+        U.at("data_centre").get<std::string>(),
+        U.at("agent").get<std::string>(), U.at("phase").get<std::string>(),
+        U.at("buckets").get<std::uint64_t>(),
+        U.at("revision").get<std::uint64_t>(),
+        U.at("drain_ordered").get<bool>() ? "  drain ordered" : "");
+  return Text;
+}
+
+json readableServices(const json &Document) {
+  json List = json::array();
+  for (const Service &S : listOf<Service>(Document, "services"))
+    List.push_back({{"id", S.Id.Number},
+                    {"name", S.Name},
+                    {"address", toString(S.Address)},
+                    {"profile", S.ProfileName},
+                    {"revision", S.Changed.Number}});
+  return {{"revision", Document.at("revision")}, {"services", List}};
+}
+
+std::string memberTable(const json &Document) {
+  std::string Text = absl::StrFormat("%-24s %-8s %-7s %s\n", "CONTROL HOST",
+                                     "ROLE", "LEADER", "STORAGE ID");
+  for (const json &M : Document.at("members")) {
+    const bool Leads = M.value("leader", false);
+    absl::StrAppendFormat(
+        &Text, "%-24s %-8s %-7s %s\n", M.at("host").get<std::string>(),
+        M.at("voter").get<bool>() ? "voter" : "learner", Leads ? "yes" : "no",
+        M.value("storage_id", std::string()));
+  }
+  return Text;
+}
+
+// Revisions -------------------------------------------------------------------
+
+CtlOutput presentInForce(const CtlRequest &Request, const json &Document) {
+  const bool Everywhere = Document.at("everywhere").get<bool>();
+  const auto Wanted = Document.at("wanted").get<std::uint64_t>();
+  std::string Others;
+  std::size_t Count = 0;
+  for (const json &Host : Document.at("hosts")) {
+    const auto State = Host.at("state").get<std::string>();
+    if (State == "in force")
+      continue;
+    ++Count;
+    absl::StrAppendFormat(
+        &Others, "    %s: %s%s\n", Host.at("host").get<std::string>(), State,
+        State == "behind"
+            ? absl::StrCat(", at ", Host.at("in_force").get<std::uint64_t>())
+            : "");
+  }
+  const std::size_t All = Document.at("hosts").size();
+  const std::string Text =
+      Everywhere ? absl::StrCat("Revision ", Wanted, " is in force on all ",
+                                All, " hosts.\n")
+                 : absl::StrCat("Needs a person: revision ", Wanted,
+                                " is not known to be in force on ", Count,
+                                " of ", All, " hosts.\n", Others);
+  return {Request.Json ? dump(Document) : Text, "",
+          Everywhere ? CtlStatus::Done : CtlStatus::NeedsPerson};
+}
+
+std::string statusText(const json &Document) {
+  std::string Text;
+  for (const auto &[Key, Value] : Document.items())
+    absl::StrAppendFormat(
+        &Text, "%-16s %s\n", Key,
+        Value.is_string()
+            ? Value.get<std::string>()
+            : Value.dump(-1, ' ', false, json::error_handler_t::replace));
+  return Text;
+}
+
+// Outcomes --------------------------------------------------------------------
+
+CtlOutput presentOutcomes(const CtlRequest &Request, const json &Document) {
+  const auto Summary = Document.get<OutcomeSummary>();
+  const bool Fine =
+      Summary.Silent.empty() &&
+      std::all_of(Summary.Promises.begin(), Summary.Promises.end(),
+                  [](const PromiseOutcome &P) {
+                    return P.Result == Verdict::Held ||
+                           P.Result == Verdict::NoEvents;
+                  });
+  return {Request.Json ? dump(Document) : formatTable(Summary), "",
+          Fine ? CtlStatus::Done : CtlStatus::NeedsPerson};
+}
+
+CtlOutput presentBurn(const CtlRequest &Request, const json &Document) {
+  const auto Report = Document.get<BurnReport>();
+  const bool Fine =
+      Report.Silent.empty() &&
+      std::none_of(Report.Rows.begin(), Report.Rows.end(),
+                   [](const BurnRow &R) { return R.NeedsPerson; });
+  return {Request.Json ? dump(Document) : formatTable(Report), "",
+          Fine ? CtlStatus::Done : CtlStatus::NeedsPerson};
+}
+
+CtlOutput present(const CtlRequest &Request, const json &Document) {
+  const auto Plain = [&](const json &Readable, const std::string &Text) {
+    return CtlOutput{Request.Json ? dump(Readable) : Text, "", {}};
+  };
+  switch (Request.Action) {
+  case CtlAction::ProfileGet:
+    return presentProfile(Request, Document);
+  case CtlAction::ProfileList:
+    return Plain(Document, profileTable(listOf<Profile>(Document, "profiles")));
+  case CtlAction::ProfileDiff:
+    return presentDiff(Request, Document);
+  case CtlAction::ServiceList:
+    return Plain(readableServices(Document),
+                 serviceTable(listOf<Service>(Document, "services")));
+  case CtlAction::UpstreamList: {
+    const json Readable = readableUpstreams(Document);
+    return Plain(Readable, upstreamTable(Readable));
+  }
+  case CtlAction::InForce:
+    return presentInForce(Request, Document);
+  case CtlAction::Outcomes:
+    return presentOutcomes(Request, Document);
+  case CtlAction::Members:
+    return Plain(Document, memberTable(Document));
+  case CtlAction::Status:
+    return Plain(Document, statusText(Document));
+  case CtlAction::ReportBurn:
+    return presentBurn(Request, Document);
+  default:
+    return Plain(Document, dump(Document));
+  }
+}
+
+// Commands --------------------------------------------------------------------
+
+/// Revision of the object, or of nothing if it doesn't exist.
+template <typename Object>
+Revision seen(const CtlRequest &Request, const std::optional<Object> &Found) {
+  if (Request.Expected)
+    return *Request.Expected;
+  return Found ? Found->Changed : Revision{};
+}
+
+CommandBody putProfile(const CtlRequest &Request, const json &Document) {
+  const std::string &Name = Request.Arguments[0];
+  const auto Found = findByName<Profile>(Document, "profiles", Name);
+  Profile Base = Found.value_or(Profile{});
+  Base.Name = Name;
+  return PutProfile{changed(Base, Request.Changes), seen(Request, Found)};
+}
+
+CommandBody putService(const CtlRequest &Request, const json &Document) {
+  const std::string &Name = Request.Arguments[0];
+  const auto Found = findByName<Service>(Document, "services", Name);
+  Service Value = Found.value_or(Service{});
+  Value.Name = Name;
+  Value.Address = Request.Address.value_or(Value.Address);
+  Value.ProfileName = Request.ProfileName.value_or(Value.ProfileName);
+  return PutService{Value, seen(Request, Found)};
+}
+
+CommandBody bodyFor(const CtlRequest &Request, const json &Document) {
+  const std::string &Name = Request.Arguments.at(0);
+  if (Request.Action == CtlAction::ProfilePut)
+    return putProfile(Request, Document);
+  if (Request.Action == CtlAction::ServicePut)
+    return putService(Request, Document);
+  if (Request.Action == CtlAction::ProfileRemove)
+    return RemoveProfile{
+        Name, seen(Request, findByName<Profile>(Document, "profiles", Name))};
+  const Revision Expected =
+      seen(Request, findByName<Upstream>(Document, "upstreams", Name));
+  if (Request.Action == CtlAction::UpstreamForget)
+    return ForgetUpstream{Name, Expected};
+  return SetDrain{Name, Request.Action == CtlAction::Drain, Expected};
+}
+
+/// Digits that tie a command id to its command.
+std::string commandCheck(const CtlRequest &Request) {
+  std::string Words = absl::StrCat(static_cast<int>(Request.Action));
+  for (const std::string &Argument : Request.Arguments)
+    absl::StrAppend(&Words, " ", Argument);
+  return absl::StrFormat("%08x", static_cast<std::uint32_t>(
+                                     XXH3_64bits(Words.data(), Words.size())));
+}
+
+CtlStatus statusFor(ErrorCode Code) {
+  // Groups of error numbers, see error.h.
+  constexpr auto FirstMessageCode = 200;
+  constexpr auto FirstCommandCode = 400;
+  const auto Number = static_cast<int>(Code);
+  if (Code == ErrorCode::OutcomeUnknown)
+    return CtlStatus::OutcomeUnknown;
+  if (Code == ErrorCode::RevisionConflict)
+    return CtlStatus::Conflict;
+  if (Number < FirstMessageCode)
+    return CtlStatus::Settings;
+  return Number < FirstCommandCode ? CtlStatus::Unreachable
+                                   : CtlStatus::Refused;
+}
+
+} // namespace
+
+std::optional<link::QueryKind> queryFor(const CtlRequest &Request) {
+  switch (Request.Action) {
+  case CtlAction::Help:
+  case CtlAction::Version:
+    return std::nullopt;
+  case CtlAction::ProfilePut:
+  case CtlAction::ProfileGet:
+  case CtlAction::ProfileList:
+  case CtlAction::ProfileRemove:
+  case CtlAction::ProfileDiff:
+    return link::QueryKind::Profiles;
+  case CtlAction::ServicePut:
+  case CtlAction::ServiceList:
+    return link::QueryKind::Services;
+  case CtlAction::UpstreamList:
+  case CtlAction::UpstreamForget:
+  case CtlAction::Drain:
+  case CtlAction::Undrain:
+    return link::QueryKind::Upstreams;
+  case CtlAction::InForce:
+    return link::QueryKind::InForce;
+  case CtlAction::Outcomes:
+    return link::QueryKind::Outcomes;
+  case CtlAction::Members:
+    return link::QueryKind::Members;
+  case CtlAction::Status:
+    return link::QueryKind::Status;
+  case CtlAction::ReportBurn:
+    return link::QueryKind::Burn;
+  }
+  return std::nullopt;
+}
+
+Expected<Command> commandFor(const CtlRequest &Request, const json &Document,
+                             const std::string &Id) {
+  try {
+    return Command{Id, bodyFor(Request, Document)};
+  } catch (const std::exception &Reason) {
+    return fail(ErrorCode::MessageMalformed,
+                absl::StrCat("the control host's answer can't be read: ",
+                             Reason.what()));
+  }
+}
+
+std::string makeCommandId(const CtlRequest &Request, const Bytes &Random) {
+  std::string Id;
+  for (const std::uint8_t Octet : Random)
+    absl::StrAppendFormat(&Id, "%02x", Octet);
+  return absl::StrCat(Id, "-", commandCheck(Request));
+}
+
+Expected<void> checkCommandId(const CtlRequest &Request) {
+  const std::string Check = "-" + commandCheck(Request);
+  const std::string &Id = Request.CommandId;
+  if (Id.size() > Check.size() &&
+      Id.compare(Id.size() - Check.size(), Check.size(), Check) == 0)
+    return {};
+  return fail(ErrorCode::InvalidArgument,
+              "--command-id belongs to another command");
+}
+
+CtlOutput presentDocument(const CtlRequest &Request, const json &Document) {
+  try {
+    return present(Request, Document);
+  } catch (const std::exception &Reason) {
+    return presentFailure(
+        Request, {ErrorCode::MessageMalformed,
+                  absl::StrCat("the control host's answer can't be read: ",
+                               Reason.what())});
+  }
+}
+
+CtlOutput presentResult(const CtlRequest &Request, const std::string &Id,
+                        const CommandResult &Result) {
+  if (!Result.Accepted)
+    return presentFailure(Request, Result.Reason);
+  if (Request.Json)
+    return {dump({{"accepted", true},
+                  {"revision", Result.At.Number},
+                  {"command_id", Id}}),
+            "",
+            {}};
+  return {
+      absl::StrCat("accepted at revision ", Result.At.Number, "\n"), "", {}};
+}
+
+CtlOutput presentFailure(const CtlRequest &Request, const Error &Reason) {
+  CtlOutput Output;
+  Output.Status = statusFor(Reason.Code);
+  Output.Complaint = absl::StrCat("jasminectl: ", toString(Reason), "\n");
+  if (Request.Json)
+    Output.Text = dump({{"error",
+                         {{"code", static_cast<unsigned>(Reason.Code)},
+                          {"name", name(Reason.Code)},
+                          {"detail", Reason.Detail}}}});
+  return Output;
+}
+
+} // namespace jasminearch::control
