Read the control leader's answers in their final form

The change: jasminectl collects the answers under the names of their kinds; the unused builders are removed. members also asks for the status, which names the leader, and upstream list shows what is in force at each agent.

--- a/apps/jasminectl.cpp
+++ b/apps/jasminectl.cpp
@@ -97,19 +97,23 @@
   std::optional<Expected<CtlAnswer>> Result;
 };
 
-Expected<nlohmann::json> query(const CtlRequest &Request,
-                               const CtlSettings &Settings,
-                               link::QueryKind Kind) {
-  link::Query Question;
-  Question.Id = 1;
-  Question.Kind = Kind;
-  if (Request.Action == CtlAction::InForce &&
-      !absl::SimpleAtoi(Request.Arguments.at(0), &Question.At.Number))
-    return fail(ErrorCode::InvalidArgument, "the revision is no number");
-  auto Answer = SessionRunner(Settings, Question, Request.Timeout).run();
-  if (!Answer)
-    return tl::make_unexpected(Answer.error());
-  return std::get<nlohmann::json>(*Answer);
+/// Asks everything that the request needs, on one link each.
+Expected<nlohmann::json> queryAll(const CtlRequest &Request,
+                                  const CtlSettings &Settings) {
+  nlohmann::json Document;
+  for (const link::QueryKind Kind : queriesFor(Request)) {
+    link::Query Question;
+    Question.Id = 1;
+    Question.Kind = Kind;
+    if (Kind == link::QueryKind::InForce &&
+        !absl::SimpleAtoi(Request.Arguments.at(0), &Question.At.Number))
+      return fail(ErrorCode::InvalidArgument, "the revision is no number");
+    auto Answer = SessionRunner(Settings, Question, Request.Timeout).run();
+    if (!Answer)
+      return tl::make_unexpected(Answer.error());
+    addAnswer(Document, Kind, std::get<nlohmann::json>(*Answer));
+  }
+  return Document;
 }
 
 CtlOutput send(const CtlRequest &Request, const CtlSettings &Settings,
@@ -155,8 +159,7 @@
   if (!Request.CommandId.empty())
     if (const auto Valid = checkCommandId(Request); !Valid)
       return presentUsage(Request, Valid.error());
-  const auto Kind = queryFor(Request);
-  const auto Document = query(Request, Settings, Kind.value());
+  const auto Document = queryAll(Request, Settings);
   if (!Document)
     return presentFailure(Request, Document.error());
   if (changesState(Request.Action))
--- a/include/jasminearch/control/ctl_output.h
+++ b/include/jasminearch/control/ctl_output.h
@@ -6,8 +6,8 @@
 #include "jasminearch/error.h"
 #include "jasminearch/link/messages.h"
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
+#include <vector>
 
 /// What jasminectl asks, sends and prints.
 namespace jasminearch::control {
@@ -21,12 +21,18 @@
   CtlStatus Status = CtlStatus::Done;
 };
 
-/// \returns the query that a request needs first, if any. Commands read the
-/// object to learn its revision.
-std::optional<link::QueryKind> queryFor(const CtlRequest &Request);
+/// \returns the queries that a request needs first. Commands read the object
+/// to learn its revision.
+std::vector<link::QueryKind> queriesFor(const CtlRequest &Request);
+
+/// Adds the answer to a query to \p Document: a list under the name of its
+/// kind ("profiles", "services", "upstreams", "entries", "members"), any other
+/// answer as it is.
+void addAnswer(nlohmann::json &Document, link::QueryKind Kind,
+               const nlohmann::json &Answer);
 
 /// \returns the command that a request sends.
-/// \param Document answer to queryFor(), or null if it asks nothing.
+/// \param Document answers to queriesFor().
 /// \param Id command id.
 Expected<Command> commandFor(const CtlRequest &Request,
                              const nlohmann::json &Document,
@@ -40,7 +46,7 @@
 /// its command id was made for.
 Expected<void> checkCommandId(const CtlRequest &Request);
 
-/// Presents the answer to a query.
+/// Presents the answers to queriesFor().
 CtlOutput presentDocument(const CtlRequest &Request,
                           const nlohmann::json &Document);
 
--- a/src/control/ctl_output.cpp
+++ b/src/control/ctl_output.cpp
@@ -2,13 +2,14 @@
 #include "jasminearch/control/burn_report.h"
 #include "jasminearch/control/codec.h"
 #include "jasminearch/control/outcomes.h"
-#include "jasminearch/control/query_documents.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
 #include <exception>
 #include <map>
+#include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 #include <xxhash.h>
@@ -136,12 +137,33 @@
   return Names;
 }
 
+const char *name(UpstreamPhase Phase) {
+  switch (Phase) {
+  case UpstreamPhase::Cold:
+    return "cold";
+  case UpstreamPhase::Active:
+    return "active";
+  case UpstreamPhase::Draining:
+    return "draining";
+  case UpstreamPhase::Lost:
+    return "lost";
+  }
+  return "unknown phase";
+}
+
+/// \returns an upstream without what the leader adds to it.
+Upstream upstreamOf(json Answer) {
+  Answer.erase("silent");
+  Answer.erase("applied");
+  return Answer.get<Upstream>();
+}
+
 /// Upstreams with names in place of numbers, for people and programs.
 json readableUpstreams(const json &Document) {
   const auto Services = serviceNames(Document);
-  const json &Buckets = Document.at("buckets");
   json List = json::array();
-  for (const Upstream &U : listOf<Upstream>(Document, "upstreams")) {
+  for (const json &Answer : Document.at("upstreams")) {
+    const Upstream U = upstreamOf(Answer);
     const auto Service = Services.find(U.Service);
     List.push_back(
         {{"id", U.Id.Number},
@@ -154,26 +176,35 @@
          {"phase", name(U.Phase)},
          {"warm_up", absl::StrCat(U.WarmUp, "/", WarmUpSteps)},
          {"drain_ordered", U.DrainOrdered},
-         {"buckets", Buckets.value(std::to_string(U.Id.Number), 0)},
+         {"silent", Answer.at("silent")},
+         {"in_force", Answer.at("applied")},
          {"revision", U.Changed.Number}});
   }
-  return {{"revision", Document.at("revision")}, {"upstreams", List}};
+  return {{"upstreams", List}};
+}
+
+std::string notes(const json &Upstream) {
+  std::string Notes;
+  if (Upstream.at("drain_ordered").get<bool>())
+    Notes += "  drain ordered";
+  if (Upstream.at("silent").get<bool>())
+    Notes += "  silent";
+  return Notes;
 }
 
 std::string upstreamTable(const json &Readable) {
   std::string Text = absl::StrFormat(
-      "%6s %-24s %-20s %-12s %-21s %-9s %7s %8s\n", "ID", "UPSTREAM", "SERVICE",
-      "DATA CENTRE", "AGENT", "PHASE", "BUCKETS", "REVISION");
+      "%6s %-24s %-20s %-12s %-21s %-9s %8s %8s\n", "ID", "UPSTREAM", "SERVICE",
+      "DATA CENTRE", "AGENT", "PHASE", "REVISION", "IN FORCE");
   for (const json &U : Readable.at("upstreams"))
     absl::StrAppendFormat(
-        &Text, "%6d %-24s %-20s %-12s %-21s %-9s %7d %8d%s\n",
+        &Text, "%6d %-24s %-20s %-12s %-21s %-9s %8d %8d%s\n",
         U.at("id").get<std::uint64_t>(), U.at("name").get<std::string>(),
         U.at("service").get<std::string>(),
         U.at("data_centre").get<std::string>(),
         U.at("agent").get<std::string>(), U.at("phase").get<std::string>(),
-        U.at("buckets").get<std::uint64_t>(),
         U.at("revision").get<std::uint64_t>(),
-        U.at("drain_ordered").get<bool>() ? "  drain ordered" : "");
+        U.at("in_force").get<std::uint64_t>(), notes(U));
   return Text;
 }
 
@@ -185,14 +216,14 @@
                     {"address", toString(S.Address)},
                     {"profile", S.ProfileName},
                     {"revision", S.Changed.Number}});
-  return {{"revision", Document.at("revision")}, {"services", List}};
+  return {{"services", List}};
 }
 
 std::string memberTable(const json &Document) {
   std::string Text = absl::StrFormat("%-24s %-8s %-7s %s\n", "CONTROL HOST",
                                      "ROLE", "LEADER", "STORAGE ID");
   for (const json &M : Document.at("members")) {
-    const bool Leads = M.value("leader", false);
+    const bool Leads = M.at("host") == Document.at("leader");
     absl::StrAppendFormat(
         &Text, "%-24s %-8s %-7s %s\n", M.at("host").get<std::string>(),
         M.at("voter").get<bool>() ? "voter" : "learner", Leads ? "yes" : "no",
@@ -203,21 +234,28 @@
 
 // Revisions -------------------------------------------------------------------
 
+/// \returns a line for a host without the revision, or an empty text.
+std::string behind(const json &Host, const std::set<std::string> &Silent) {
+  if (Host.at("in_force").get<bool>())
+    return "";
+  const auto Name = Host.at("name").get<std::string>();
+  const auto Applied = Host.at("applied").get<std::uint64_t>();
+  if (Silent.count(Name) != 0)
+    return absl::StrCat("    ", Name, ": can't tell, it is silent; last known ",
+                        Applied, "\n");
+  return absl::StrCat("    ", Name, ": behind, at ", Applied, "\n");
+}
+
 CtlOutput presentInForce(const CtlRequest &Request, const json &Document) {
   const bool Everywhere = Document.at("everywhere").get<bool>();
-  const auto Wanted = Document.at("wanted").get<std::uint64_t>();
+  const auto Wanted = Document.at("revision").get<std::uint64_t>();
+  const auto Silent = Document.at("silent").get<std::set<std::string>>();
   std::string Others;
   std::size_t Count = 0;
   for (const json &Host : Document.at("hosts")) {
-    const auto State = Host.at("state").get<std::string>();
-    if (State == "in force")
-      continue;
-    ++Count;
-    absl::StrAppendFormat(
-        &Others, "    %s: %s%s\n", Host.at("host").get<std::string>(), State,
-        State == "behind"
-            ? absl::StrCat(", at ", Host.at("in_force").get<std::uint64_t>())
-            : "");
+    const std::string Line = behind(Host, Silent);
+    Count += Line.empty() ? 0 : 1;
+    Others += Line;
   }
   const std::size_t All = Document.at("hosts").size();
   const std::string Text =
@@ -301,6 +339,14 @@
 
 // Commands --------------------------------------------------------------------
 
+std::optional<Upstream> findUpstream(const json &Document,
+                                     const std::string &Name) {
+  for (const json &Answer : Document.at("upstreams"))
+    if (Upstream U = upstreamOf(Answer); U.Name == Name)
+      return U;
+  return std::nullopt;
+}
+
 /// Revision of the object, or of nothing if it doesn't exist.
 template <typename Object>
 Revision seen(const CtlRequest &Request, const std::optional<Object> &Found) {
@@ -336,8 +382,7 @@
   if (Request.Action == CtlAction::ProfileRemove)
     return RemoveProfile{
         Name, seen(Request, findByName<Profile>(Document, "profiles", Name))};
-  const Revision Expected =
-      seen(Request, findByName<Upstream>(Document, "upstreams", Name));
+  const Revision Expected = seen(Request, findUpstream(Document, Name));
   if (Request.Action == CtlAction::UpstreamForget)
     return ForgetUpstream{Name, Expected};
   return SetDrain{Name, Request.Action == CtlAction::Drain, Expected};
@@ -369,37 +414,61 @@
 
 } // namespace
 
-std::optional<link::QueryKind> queryFor(const CtlRequest &Request) {
+std::vector<link::QueryKind> queriesFor(const CtlRequest &Request) {
+  using Kind = link::QueryKind;
   switch (Request.Action) {
   case CtlAction::Help:
   case CtlAction::Version:
-    return std::nullopt;
+    return {};
   case CtlAction::ProfilePut:
   case CtlAction::ProfileGet:
   case CtlAction::ProfileList:
   case CtlAction::ProfileRemove:
   case CtlAction::ProfileDiff:
-    return link::QueryKind::Profiles;
+    return {Kind::Profiles};
   case CtlAction::ServicePut:
   case CtlAction::ServiceList:
-    return link::QueryKind::Services;
+    return {Kind::Services};
   case CtlAction::UpstreamList:
+    return {Kind::Services, Kind::Upstreams};
   case CtlAction::UpstreamForget:
   case CtlAction::Drain:
   case CtlAction::Undrain:
-    return link::QueryKind::Upstreams;
+    return {Kind::Upstreams};
   case CtlAction::InForce:
-    return link::QueryKind::InForce;
+    return {Kind::InForce};
   case CtlAction::Outcomes:
-    return link::QueryKind::Outcomes;
+    return {Kind::Outcomes};
   case CtlAction::Members:
-    return link::QueryKind::Members;
+    return {Kind::Status, Kind::Members};
   case CtlAction::Status:
-    return link::QueryKind::Status;
+    return {Kind::Status};
   case CtlAction::ReportBurn:
-    return link::QueryKind::Burn;
+    return {Kind::Burn};
+  }
+  return {};
+}
+
+void addAnswer(json &Document, link::QueryKind Kind, const json &Answer) {
+  switch (Kind) {
+  case link::QueryKind::Profiles:
+    Document["profiles"] = Answer;
+    return;
+  case link::QueryKind::Services:
+    Document["services"] = Answer;
+    return;
+  case link::QueryKind::Upstreams:
+    Document["upstreams"] = Answer;
+    return;
+  case link::QueryKind::Entries:
+    Document["entries"] = Answer;
+    return;
+  case link::QueryKind::Members:
+    Document["members"] = Answer;
+    return;
+  default:
+    Document = Answer;
   }
-  return std::nullopt;
 }
 
 Expected<Command> commandFor(const CtlRequest &Request, const json &Document,
