--- a/include/jasminearch/routing/entry_relay.h
+++ b/include/jasminearch/routing/entry_relay.h
@@ -6,7 +6,6 @@
 #include "jasminearch/routing/entry_counts.h"
 #include "jasminearch/routing/entry_router.h"
 #include "jasminearch/types.h"
-#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <mutex>
@@ -14,18 +13,26 @@
 /// Moves batches of datagrams between sockets as entry_router.h decides.
 namespace jasminearch::routing {
 
-/// Hands the snapshot in force from the control thread to traffic threads.
+/// Hands the snapshot in force from the control thread to traffic threads,
+/// which load it once for each batch. A mutex, because the thread sanitizer
+/// reports a race inside std::atomic<std::shared_ptr> of g++ 12's library.
 class RoutingSlot {
 public:
-  std::shared_ptr<const RoutingSnapshot> load() const { return Value.load(); }
+  std::shared_ptr<const RoutingSnapshot> load() const {
+    const std::scoped_lock Lock(ValueMutex);
+    return Value;
+  }
 
   void store(std::shared_ptr<const RoutingSnapshot> Next) {
-    Value.store(std::move(Next));
+    const std::scoped_lock Lock(ValueMutex);
+    // The former snapshot is freed with Next, after the lock is released.
+    Value.swap(Next);
   }
 
 private:
-  std::atomic<std::shared_ptr<const RoutingSnapshot>> Value{
-      std::make_shared<const RoutingSnapshot>()};
+  mutable std::mutex ValueMutex;
+  std::shared_ptr<const RoutingSnapshot> Value =
+      std::make_shared<const RoutingSnapshot>();
 };
 
 /// What a relay logs. Both kinds are rate-limited.
--- a/tests/entry_relay_test.cpp
+++ b/tests/entry_relay_test.cpp
@@ -2,6 +2,7 @@
 #include "jasminearch/wire/frame.h"
 #include "jasminearch/wire/proxy_header.h"
 #include <algorithm>
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
 
