--- a/standins/jasminearch_caller.cpp
+++ b/standins/jasminearch_caller.cpp
@@ -25,6 +25,7 @@
     {"sessions", required_argument, nullptr, 'S'},
     {"seconds", required_argument, nullptr, 'd'},
     {"seed", required_argument, nullptr, 'e'},
+    {"coap-log", required_argument, nullptr, 'L'},
     {"help", no_argument, nullptr, 'h'},
     {nullptr, 0, nullptr, 0}};
 
@@ -33,7 +34,8 @@
       << "jasminearch-caller --address IP:PORT --service NAME --name NAME "
          "[--record FILE]\n  [--lines N] [--requests N] [--rate PER_SECOND] "
          "[--sheet-percent N]\n  [--sheet-bytes N] [--rebind-lines N] "
-         "[--sessions N] [--seconds N] [--seed N]\n";
+         "[--sessions N] [--seconds N] [--seed N]\n  "
+         "[--coap-log LEVEL]\n";
 }
 
 bool readText(int Option, const char *Value, CallerOptions &Out) {
@@ -86,6 +88,9 @@
   case 'e':
     Out.Seed = Number;
     return true;
+  case 'L':
+    Out.CoapLog = Number;
+    return Number <= LOG_DEBUG;
   default:
     return false;
   }
--- a/standins/jasminearch_upstream.cpp
+++ b/standins/jasminearch_upstream.cpp
@@ -34,6 +34,8 @@
   milliseconds NotifyEvery{500};
   std::size_t SheetBytes = 20'000;
   bool FalseHealth = false;
+  /// libcoap's log level, 0 to 7; 7 shows every message.
+  unsigned CoapLog = LOG_CRIT;
 };
 
 /// State of the one upstream in this process; libcoap's handlers reach it
@@ -178,7 +180,7 @@
 }
 
 int serve() {
-  startCoap();
+  startCoap(State.Settings.CoapLog);
   State.Started = std::chrono::steady_clock::now();
   State.Context = coap_new_context(nullptr);
   coap_context_set_block_mode(State.Context,
@@ -211,7 +213,7 @@
   std::cout << "jasminearch-upstream --listen IP:PORT --name NAME --service "
                "SERVICE [--record FILE]\n  [--slots N] [--service-ms N] "
                "[--cold-start-ms N] [--notify-ms N]\n  [--sheet-bytes N] "
-               "[--false-health]\n";
+               "[--false-health] [--coap-log LEVEL]\n";
 }
 
 bool readNumber(const char *Text, unsigned &Out) {
@@ -260,6 +262,9 @@
   case 'b':
     Out.SheetBytes = Number;
     return true;
+  case 'L':
+    Out.CoapLog = Number;
+    return Number <= LOG_DEBUG;
   default:
     return false;
   }
@@ -275,6 +280,7 @@
     {"cold-start-ms", required_argument, nullptr, 'c'},
     {"notify-ms", required_argument, nullptr, 'N'},
     {"sheet-bytes", required_argument, nullptr, 'b'},
+    {"coap-log", required_argument, nullptr, 'L'},
     {"false-health", no_argument, nullptr, 'f'},
     {"help", no_argument, nullptr, 'h'},
     {nullptr, 0, nullptr, 0}};
--- a/standins/lib/caller.cpp
+++ b/standins/lib/caller.cpp
@@ -333,11 +333,18 @@
   registerLine(C, L);
 }
 
-/// Gives a line a new port.
+/// Gives a line a new port. Requests that wait on the old one end: the new
+/// session counts its tokens from the start again, so that an answer to a new
+/// request could be taken for theirs.
 void rebindLine(Caller &C, std::size_t Index) {
   Line &L = C.Lines[Index];
   if (L.Phase != LinePhase::Open || L.Rebound)
     return;
+  for (auto R = C.Open.begin(); R != C.Open.end();) {
+    const auto This = R++;
+    if (This->Session == L.Session)
+      finish(C, This, "unknown", false, "the port was given up");
+  }
   coap_session_release(C.Sessions[L.Session]);
   C.Sessions[L.Session] = openSession(C);
   L.Rebound = true;
@@ -365,7 +372,7 @@
 } // namespace
 
 bool startCaller(Caller &C) {
-  startCoap();
+  startCoap(C.Options.CoapLog);
   C.Records = std::make_unique<RecordWriter>(C.Options.RecordFile);
   C.Random.seed(C.Options.Seed);
   C.Started = steady_clock::now();
--- a/standins/lib/caller.h
+++ b/standins/lib/caller.h
@@ -36,6 +36,8 @@
   /// A line without a notification for this long registers again.
   std::chrono::milliseconds LineSilence{3'000};
   std::uint64_t Seed = 1;
+  /// libcoap's log level, 0 to 7; 7 shows every message.
+  unsigned CoapLog = LOG_CRIT;
 };
 
 /// What a request asks for.
--- a/standins/lib/coap_support.cpp
+++ b/standins/lib/coap_support.cpp
@@ -20,9 +20,9 @@
          MillisPerSecond;
 }
 
-void startCoap() {
+void startCoap(unsigned LogLevel) {
   coap_startup();
-  coap_set_log_level(LOG_CRIT);
+  coap_set_log_level(static_cast<coap_log_t>(LogLevel));
 }
 
 std::vector<std::string> optionValues(const coap_pdu_t *Pdu,
--- a/standins/lib/coap_support.h
+++ b/standins/lib/coap_support.h
@@ -17,8 +17,8 @@
 /// \returns \p Span in libcoap's clock ticks.
 coap_tick_t toTicks(std::chrono::milliseconds Span);
 
-/// Quietens libcoap and starts it.
-void startCoap();
+/// Starts libcoap with its log level, 0 to 7; 7 shows every message.
+void startCoap(unsigned LogLevel);
 
 /// \returns the value of the query parameter \p Key ("key=value"), or nothing.
 std::string queryValue(const coap_pdu_t *Request, std::string_view Key);
