--- a/src/agent/take_over.cpp
+++ b/src/agent/take_over.cpp
@@ -35,7 +35,8 @@
       : Settings(Chosen), HandOver(std::move(Stop)) {
     link::LinkHandlers Handlers;
     Handlers.Opened = [this](LinkId Id, bool) { challenge(Id); };
-    Handlers.Received = [this](LinkId Id, std::vector<std::uint8_t> Message) {
+    Handlers.Received = [this](LinkId Id,
+                               const std::vector<std::uint8_t> &Message) {
       receive(Id, Message);
     };
     Handlers.Closed = [this](LinkId Id) {
@@ -113,7 +114,8 @@
       : Settings(Chosen), Into(Target), Time(Clock) {
     link::LinkHandlers Handlers;
     Handlers.Opened = [](LinkId, bool) {};
-    Handlers.Received = [this](LinkId Id, std::vector<std::uint8_t> Message) {
+    Handlers.Received = [this](LinkId Id,
+                               const std::vector<std::uint8_t> &Message) {
       Hello ? readPart(Message) : sendHello(Id, Message);
     };
     Handlers.Closed = [this](LinkId) {
--- a/tests/agent_fault_matrix_test.cpp
+++ b/tests/agent_fault_matrix_test.cpp
@@ -40,6 +40,7 @@
     {"table move", Fault::TableMove, Allowed::AnswerOnly},
     {"move, late duplicate", Fault::MoveWithLateDuplicate, Allowed::AnswerOnly},
     {"drain", Fault::Drain, Allowed::NotRun},
+    {"drain and back, late duplicate", Fault::DrainAndBack, Allowed::NotRun},
     {"sibling kill", Fault::SiblingKill, Allowed::AnswerOnly},
     {"entry kill", Fault::EntryKill, Allowed::AnswerOnly},
     {"deadline", Fault::Deadline, Allowed::Any},
--- a/tests/agent_logic_test.cpp
+++ b/tests/agent_logic_test.cpp
@@ -123,7 +123,7 @@
 /// Lets the upstream answer what it was sent last.
 Reaction upstreamSays(World &In, std::size_t At, const Bytes &Request,
                       std::uint8_t Code, const std::string &Payload,
-                      CoapMessage Extra = {}) {
+                      const CoapMessage &Extra = {}) {
   const auto Read = wire::parseCoap(Request).value();
   CoapMessage Out = answerTo(Read, Code, 9);
   if (Extra.Type != CoapType::Confirmable || Extra.MessageId != 0)
--- /dev/null
+++ b/tests/agent_traffic_loop_test.cpp
@@ -0,0 +1,196 @@
+#include "agent_world.h"
+#include "jasminearch/agent/take_over.h"
+#include "jasminearch/agent/traffic_loop.h"
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace jasminearch;
+using namespace jasminearch::agent;
+using namespace jasminearch::agent::test;
+
+namespace {
+
+constexpr std::uint32_t Loopback = 0x7F000001;
+
+/// A datagram socket on loopback that waits at most two seconds.
+class Peer {
+public:
+  Peer() : Socket(socket(AF_INET, SOCK_DGRAM, 0)) {
+    sockaddr_in Any{};
+    Any.sin_family = AF_INET;
+    Any.sin_addr.s_addr = htonl(Loopback);
+    bind(Socket, reinterpret_cast<const sockaddr *>(&Any), sizeof(Any));
+    const timeval Wait{2, 0};
+    setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Wait, sizeof(Wait));
+  }
+  ~Peer() { close(Socket); }
+  Peer(const Peer &) = delete;
+  Peer &operator=(const Peer &) = delete;
+
+  Endpoint at() const {
+    sockaddr_in Own{};
+    socklen_t Size = sizeof(Own);
+    getsockname(Socket, reinterpret_cast<sockaddr *>(&Own), &Size);
+    return {Loopback, ntohs(Own.sin_port)};
+  }
+
+  void send(Endpoint To, const Bytes &Datagram) const {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(To.Address);
+    Address.sin_port = htons(To.Port);
+    sendto(Socket, Datagram.data(), Datagram.size(), 0,
+           reinterpret_cast<const sockaddr *>(&Address), sizeof(Address));
+  }
+
+  /// \returns the next datagram, empty after two seconds.
+  Bytes receive(Endpoint *From = nullptr) const {
+    Bytes Out(wire::MaxDatagramBytes);
+    sockaddr_in Address{};
+    socklen_t Size = sizeof(Address);
+    const ssize_t Read =
+        recvfrom(Socket, Out.data(), Out.size(), 0,
+                 reinterpret_cast<sockaddr *>(&Address), &Size);
+    Out.resize(Read < 0 ? 0 : static_cast<std::size_t>(Read));
+    if (From != nullptr)
+      *From = {ntohl(Address.sin_addr.s_addr), ntohs(Address.sin_port)};
+    return Out;
+  }
+
+private:
+  int Socket;
+};
+
+/// \returns a port that is free at this moment.
+Endpoint freeEndpoint() { return Peer().at(); }
+
+/// A traffic loop with its thread.
+struct Running {
+  Running(std::unique_ptr<State> Initial, Endpoint Tunnel, Endpoint Upstream)
+      : Loop(std::move(Initial), {Tunnel, Upstream}, Time) {
+    CPPUNIT_ASSERT(Loop.open());
+    Thread = std::thread([this] { Loop.run(); });
+  }
+  ~Running() { stop(); }
+  Running(const Running &) = delete;
+  Running &operator=(const Running &) = delete;
+  void stop() {
+    Loop.quit();
+    if (Thread.joinable())
+      Thread.join();
+  }
+
+  SystemClock Time;
+  TrafficLoop Loop;
+  std::thread Thread;
+};
+
+std::unique_ptr<State> freshState() {
+  return std::make_unique<State>(AgentOptions{4, {}, 1000}, PermitKey{1},
+                                 SystemClock().now());
+}
+
+class AgentTrafficLoopTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AgentTrafficLoopTest);
+  CPPUNIT_TEST(servesAndHandsOver);
+  CPPUNIT_TEST(refusesAForeignSuccessor);
+  CPPUNIT_TEST_SUITE_END();
+
+  static AgentSettings settings(Endpoint TakeOver) {
+    AgentSettings Out;
+    Out.Common.Cluster = "test";
+    Out.Common.Name = "u0";
+    Out.Common.LinkKey = "key";
+    Out.TakeOver = TakeOver;
+    return Out;
+  }
+
+  /// Guards against a planned restart that breaks a line, changes the port that
+  /// the upstream sees, or runs a copy again.
+  void servesAndHandsOver() {
+    World W(1);
+    const Peer Entry;
+    const Peer Upstream;
+    const Endpoint Tunnel = freeEndpoint();
+    W.Config.Entries["entry0"].Tunnel = Entry.at();
+    const auto Config =
+        std::make_shared<const control::Configuration>(W.Config);
+    Running First(freshState(), Tunnel, Upstream.at());
+    First.Loop.post(ConfigurationChanged{Config});
+    First.Loop.post(Announced{upstreamId(0), {10}});
+    std::this_thread::sleep_for(100ms);
+
+    CoapMessage Post;
+    Post.Code = wire::code::Post;
+    Post.MessageId = 1;
+    Post.RequestToken = {1, {1}};
+    addOption(Post, wire::option::UriPath, bytesOf("orders"));
+    Entry.send(Tunnel, W.forwardFrame(0, buildCoap(Post).value()));
+    const Bytes Told = Entry.receive();
+    const auto Frame = wire::decodeFrame(Told).value();
+    const auto Permit = wire::parseCoap(Frame.Payload).value();
+    CPPUNIT_ASSERT_EQUAL(wire::code::Unauthorized, Permit.Code);
+    addOption(Post, wire::option::Echo,
+              findOption(Permit, wire::option::Echo).value());
+    Post.MessageId = 2;
+    const Bytes Permitted = W.forwardFrame(0, buildCoap(Post).value());
+    Entry.send(Tunnel, Permitted);
+    Endpoint FlowAt;
+    const Bytes Ran = Upstream.receive(&FlowAt);
+    CPPUNIT_ASSERT(!Ran.empty());
+
+    const Endpoint TakeOverAt = freeEndpoint();
+    auto Server = serveTakeOver(settings(TakeOverAt),
+                                [&] { return First.Loop.handOver().get(); });
+    CPPUNIT_ASSERT(Server.has_value());
+    auto Next = freshState();
+    const SystemClock Time;
+    const auto Taken = takeOver(settings(TakeOverAt), TakeOverAt, *Next, Time);
+    CPPUNIT_ASSERT_MESSAGE(Taken ? "" : toString(Taken.error()),
+                           Taken.has_value());
+    for (int Left = 100; Left > 0 && !(*Server)->finished(); --Left)
+      std::this_thread::sleep_for(20ms);
+    CPPUNIT_ASSERT((*Server)->finished());
+    CPPUNIT_ASSERT(Next->Instance == (Incarnation{10}));
+
+    Running Second(std::move(Next), Tunnel, Upstream.at());
+    Entry.send(Tunnel, Permitted);
+    const auto Asked = wire::parseCoap(Ran).value();
+    CoapMessage Answer = answerTo(Asked, wire::code::Changed, 0);
+    Answer.Payload = bytesOf("done");
+    Upstream.send(FlowAt, buildCoap(Answer).value());
+    const Bytes Last = Entry.receive();
+    CPPUNIT_ASSERT(!Last.empty());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("done"),
+        textOf(wire::parseCoap(wire::decodeFrame(Last)->Payload)->Payload));
+    CPPUNIT_ASSERT(Upstream.receive().empty());
+  }
+
+  /// Guards against handing permit keys and records to whoever connects.
+  void refusesAForeignSuccessor() {
+    const Endpoint TakeOverAt = freeEndpoint();
+    bool Asked = false;
+    auto Server = serveTakeOver(settings(TakeOverAt), [&] {
+      Asked = true;
+      return std::vector<Bytes>();
+    });
+    CPPUNIT_ASSERT(Server.has_value());
+    AgentSettings Foreign = settings(TakeOverAt);
+    Foreign.Common.LinkKey = "other";
+    auto Next = freshState();
+    const SystemClock Time;
+    const auto Taken = takeOver(Foreign, TakeOverAt, *Next, Time);
+    CPPUNIT_ASSERT(!Taken.has_value());
+    CPPUNIT_ASSERT(!Asked);
+    CPPUNIT_ASSERT(!(*Server)->finished());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentTrafficLoopTest);
+
+} // namespace
--- a/tests/agent_world.cpp
+++ b/tests/agent_world.cpp
@@ -419,7 +419,8 @@
   after(2 * Hop, Deliver);
   if (Chosen == Fault::Duplicate)
     return after(4 * Hop, std::move(Deliver));
-  if (Chosen == Fault::LateDuplicate || Chosen == Fault::MoveWithLateDuplicate)
+  if (Chosen == Fault::LateDuplicate || Chosen == Fault::DrainAndBack ||
+      Chosen == Fault::MoveWithLateDuplicate)
     after(40s, std::move(Deliver));
   strike();
 }
@@ -471,6 +472,14 @@
     configure();
     // The entry host misses the update for three seconds.
     return after(3s, [this] { moveTable(); });
+  case Fault::DrainAndBack:
+    Config.Upstreams[upstreamId(Owner)].Phase =
+        control::UpstreamPhase::Draining;
+    configure();
+    return after(10s, [this, At = Owner] {
+      Config.Upstreams[upstreamId(At)].Phase = control::UpstreamPhase::Active;
+      configure();
+    });
   case Fault::SiblingKill:
     return kill((Owner + 1) % Agents.size());
   case Fault::EntryKill:
--- a/tests/agent_world.h
+++ b/tests/agent_world.h
@@ -37,6 +37,7 @@
   TableMove,
   MoveWithLateDuplicate,
   Drain,
+  DrainAndBack,
   SiblingKill,
   EntryKill,
   Deadline,
