Build CoAP messages without libcoap's additions

Cause: the fuzzer found a rebuilt message that lost its last two bytes. coap_add_option adds a Hop-Limit to requests with a Proxy-Uri or Proxy-Scheme, which the summed sizes did not count. Change: options are written with coap_opt_encode; a regression test. Ruled out: counting the extra option, because a message must not change elsewhere when a path segment is stripped.

--- a/include/jasminearch/wire/coap_message.h
+++ b/include/jasminearch/wire/coap_message.h
@@ -126,8 +126,11 @@
 /// which libcoap makes and frees.
 Expected<CoapMessage> parseCoap(absl::Span<const std::uint8_t> Datagram);
 
-/// Writes a message with coap_pdu_init and its companions. Options must be in
-/// ascending order. \returns CoapMalformed when libcoap refuses a part.
+/// Writes a message with libcoap's option codec (coap_opt_encode). libcoap's
+/// coap_add_option isn't used, because it adds a Hop-Limit to requests with a
+/// Proxy-Uri or Proxy-Scheme, and a rebuilt message must not change elsewhere.
+/// Options must be in ascending order. \returns CoapMalformed when they aren't,
+/// or when a part is too long.
 Expected<Bytes> buildCoap(const CoapMessage &Message);
 
 /// \returns the first option with this number.
--- a/src/wire/coap_message.cpp
+++ b/src/wire/coap_message.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t HeaderBytes = 4;
 constexpr unsigned ProtocolVersion = 1;
 constexpr std::uint8_t ReservedSizeExponent = 7;
+constexpr std::uint8_t PayloadMarker = 0xFF;
 constexpr std::size_t MaxCoapBytes = 65507;
 
 struct PduDeleter {
@@ -73,6 +74,15 @@
   XXH3_64bits_update(&Hash, Option.Value.data(), Option.Value.size());
 }
 
+void writeHeader(const CoapMessage &Of, Bytes &Out) {
+  Out[0] = static_cast<std::uint8_t>((ProtocolVersion << 6U) |
+                                     (static_cast<unsigned>(Of.Type) << 4U) |
+                                     Of.RequestToken.Size);
+  Out[1] = Of.Code;
+  Out[2] = static_cast<std::uint8_t>(Of.MessageId >> 8U);
+  Out[3] = static_cast<std::uint8_t>(Of.MessageId & 0xFFU);
+}
+
 Bytes buildOrEmpty(const CoapMessage &Message) {
   return buildCoap(Message).value_or(Bytes());
 }
@@ -109,44 +119,42 @@
 }
 
 Expected<Bytes> buildCoap(const CoapMessage &Message) {
-  silenceLibraryLog();
-  const PduOwner Pdu(coap_pdu_init(static_cast<coap_pdu_type_t>(Message.Type),
-                                   static_cast<coap_pdu_code_t>(Message.Code),
-                                   Message.MessageId,
-                                   MaxCoapBytes - HeaderBytes));
-  if (Pdu == nullptr)
-    return fail(ErrorCode::CoapMalformed, "libcoap could not make a message");
   const std::size_t TokenSize = Message.RequestToken.Size;
-  if (TokenSize > 0 && coap_add_token(Pdu.get(), TokenSize,
-                                      Message.RequestToken.Octets.data()) == 0)
-    return fail(ErrorCode::CoapMalformed, "libcoap refused the token");
-  std::size_t BodySize = TokenSize;
+  if (TokenSize > MaxTokenBytes)
+    return fail(ErrorCode::CoapMalformed, "token longer than 8 bytes");
+  std::size_t Size = HeaderBytes + TokenSize;
+  std::uint16_t Last = 0;
   for (const OptionView &Option : Message.Options) {
-    const std::size_t Added = coap_add_option(
-        Pdu.get(), Option.Number, Option.Value.size(), Option.Value.data());
-    if (Added == 0)
+    if (Option.Number < Last)
+      return fail(ErrorCode::CoapMalformed, "options are not in order");
+    Size += coap_opt_encode_size(Option.Number - Last, Option.Value.size());
+    Last = Option.Number;
+  }
+  Size += Message.Payload.empty() ? 0 : 1 + Message.Payload.size();
+  if (Size > MaxCoapBytes)
+    return fail(ErrorCode::CoapMalformed,
+                "message of " + std::to_string(Size) +
+                    " bytes; at most 65507 are allowed");
+  Bytes Out(Size);
+  writeHeader(Message, Out);
+  std::uint8_t *At = std::copy_n(Message.RequestToken.Octets.begin(), TokenSize,
+                                 Out.data() + HeaderBytes);
+  Last = 0;
+  for (const OptionView &Option : Message.Options) {
+    const std::size_t Room = Out.data() + Size - At;
+    const std::size_t Written =
+        coap_opt_encode(At, Room, Option.Number - Last, Option.Value.data(),
+                        Option.Value.size());
+    if (Written == 0)
       return fail(ErrorCode::CoapMalformed,
                   "libcoap refused option " + std::to_string(Option.Number));
-    BodySize += Added;
-  }
-  if (!Message.Payload.empty()) {
-    if (coap_add_data(Pdu.get(), Message.Payload.size(),
-                      Message.Payload.data()) == 0)
-      return fail(ErrorCode::CoapMalformed, "libcoap refused the payload");
-    BodySize += 1 + Message.Payload.size();
+    At += Written;
+    Last = Option.Number;
   }
-  // libcoap keeps token, options and payload in one piece and adds the fixed
-  // header only when a session sends, so the header is written here.
-  const std::uint8_t *Body = coap_pdu_get_token(Pdu.get()).s;
-  Bytes Out;
-  Out.reserve(HeaderBytes + BodySize);
-  Out.push_back(static_cast<std::uint8_t>(
-      (ProtocolVersion << 6U) | (static_cast<unsigned>(Message.Type) << 4U) |
-      TokenSize));
-  Out.push_back(Message.Code);
-  Out.push_back(static_cast<std::uint8_t>(Message.MessageId >> 8U));
-  Out.push_back(static_cast<std::uint8_t>(Message.MessageId & 0xFFU));
-  Out.insert(Out.end(), Body, Body + BodySize);
+  if (Message.Payload.empty())
+    return Out;
+  *At++ = PayloadMarker;
+  std::copy(Message.Payload.begin(), Message.Payload.end(), At);
   return Out;
 }
 
--- a/tests/agent_coap_message_test.cpp
+++ b/tests/agent_coap_message_test.cpp
@@ -26,6 +26,7 @@
 class CoapMessageTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CoapMessageTest);
   CPPUNIT_TEST(readsWhatItWrites);
+  CPPUNIT_TEST(addsNothingOfItsOwn);
   CPPUNIT_TEST(stripsAndPrependsSegments);
   CPPUNIT_TEST(refusesMalformedDatagrams);
   CPPUNIT_TEST(answersMatchTheRequest);
@@ -47,6 +48,18 @@
     CPPUNIT_ASSERT(Wire == buildCoap(Back).value());
   }
 
+  /// Guards against options that libcoap adds by itself; found by the fuzzer
+  /// with a Proxy-Scheme (39), whose message lost its last two bytes.
+  void addsNothingOfItsOwn() {
+    CoapMessage Message = post();
+    removeOptions(Message, option::Echo);
+    addOption(Message, 39, bytesOf("coap"));
+    const Bytes Wire = buildCoap(Message).value();
+    const CoapMessage Back = parseCoap(Wire).value();
+    CPPUNIT_ASSERT_EQUAL(Message.Options.size(), Back.Options.size());
+    CPPUNIT_ASSERT(bytesOf("stitch") == Back.Payload);
+  }
+
   /// Guards against an upstream that sees the owner's segment in a path.
   void stripsAndPrependsSegments() {
     CoapMessage Message = post();
