--- /dev/null
+++ b/tests/link_server_test.cpp
@@ -0,0 +1,331 @@
+#include "link_cluster.h"
+
+using namespace jasminearch;
+using namespace jasminearch::link;
+using namespace jasminearch::link::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+class ControlServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ControlServerTest);
+  CPPUNIT_TEST(refusesWrongCluster);
+  CPPUNIT_TEST(refusesWrongKey);
+  CPPUNIT_TEST(refusesReplayedProof);
+  CPPUNIT_TEST(refusesUnknownControlHost);
+  CPPUNIT_TEST(refusesTooManyLinks);
+  CPPUNIT_TEST(refusesTooFastMessages);
+  CPPUNIT_TEST(refusesTruncatedAndUnknownMessages);
+  CPPUNIT_TEST(refusesMessagesBeforeHello);
+  CPPUNIT_TEST(closesLinksThatNeverProveTheKey);
+  CPPUNIT_TEST(refusesOthersAnnouncementsAndPeerMessages);
+  CPPUNIT_TEST(answersCommandsOnceCommitted);
+  CPPUNIT_TEST(resendGetsTheFirstResult);
+  CPPUNIT_TEST(resendBeforeTheCommitIsProposedOnce);
+  CPPUNIT_TEST(racingOperatorsGetOneConflict);
+  CPPUNIT_TEST(followersNameTheLeader);
+  CPPUNIT_TEST(commandsInFlightAreUnknownAfterLossOfLeadership);
+  CPPUNIT_TEST(readsNeedTheLease);
+  CPPUNIT_TEST(refusesCommandsThatAreNotOperators);
+  CPPUNIT_TEST(tellsWhereARevisionIsInForce);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void assertRefused(const FakeOperator &Op, ErrorCode Code) {
+    const auto *No = Op.last<Refused>();
+    CPPUNIT_ASSERT(No != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string(name(Code)),
+                         std::string(name(No->Reason.Code)));
+    CPPUNIT_ASSERT(Op.Closed);
+  }
+
+  /// Guards against daemons of one cluster that join another.
+  void refusesWrongCluster() {
+    FakeCluster C;
+    FakeOperator Op;
+    Hello Claim = FakeCluster::operatorHello();
+    Claim.Cluster = "other";
+    C.open(Op, 0, Claim);
+    assertRefused(Op, ErrorCode::WrongCluster);
+  }
+
+  /// Guards against control by someone who doesn't know the key.
+  void refusesWrongKey() {
+    FakeCluster C;
+    FakeOperator Op;
+    C.open(Op, 0, FakeCluster::operatorHello(), "a guessed key");
+    assertRefused(Op, ErrorCode::UnknownMember);
+    C.send(Op, FakeCluster::putProfile("x"));
+    CPPUNIT_ASSERT(C.Committed.empty());
+  }
+
+  /// Guards against a recorded Hello that opens a second link.
+  void refusesReplayedProof() {
+    FakeCluster C;
+    FakeOperator First;
+    C.open(First, 0);
+    Hello Claim = FakeCluster::operatorHello();
+    Claim.Proof = helloProof(Key, First.last<Challenge>()->Nonce, Claim);
+    FakeOperator Second;
+    Second.Link = ++C.LastLink;
+    C.OperatorLinks[Second.Link] = &Second;
+    C.event(0, LinkOpened{Second.Link});
+    C.send(Second, Claim);
+    assertRefused(Second, ErrorCode::UnknownMember);
+  }
+
+  /// Guards against a removed control host that still votes.
+  void refusesUnknownControlHost() {
+    FakeCluster C;
+    FakeOperator Op;
+    Hello Claim = FakeCluster::operatorHello();
+    Claim.Sender = Role::Control;
+    Claim.Name = "c9";
+    C.open(Op, 0, Claim);
+    assertRefused(Op, ErrorCode::UnknownMember);
+  }
+
+  /// Guards against a control host that runs out of memory.
+  void refusesTooManyLinks() {
+    ServerLimits Few;
+    Few.MaxLinks = 2;
+    FakeCluster C(Few);
+    FakeOperator Ops[3];
+    for (FakeOperator &Op : Ops)
+      C.open(Op, 0);
+    CPPUNIT_ASSERT(Ops[1].last<Welcome>() != nullptr);
+    assertRefused(Ops[2], ErrorCode::LinkLimitReached);
+    C.event(0, LinkEnded{Ops[0].Link});
+    C.open(Ops[2], 0);
+    CPPUNIT_ASSERT(Ops[2].last<Welcome>() != nullptr);
+  }
+
+  /// Guards against one daemon in a loop that starves all others.
+  void refusesTooFastMessages() {
+    ServerLimits Slow;
+    Slow.BurstMessages = 5;
+    Slow.MessagesPerSecond = 10;
+    FakeCluster C(Slow);
+    FakeOperator Op;
+    C.open(Op, 0);
+    for (int I = 0; I < 20; ++I) {
+      C.run(milliseconds(100));
+      C.send(Op, Query{1, QueryKind::Status, {}});
+    }
+    CPPUNIT_ASSERT(!Op.Closed);
+    for (int I = 0; I < 6; ++I)
+      C.send(Op, Query{1, QueryKind::Status, {}});
+    assertRefused(Op, ErrorCode::RateLimited);
+  }
+
+  /// Guards against an exception or a half-read message.
+  void refusesTruncatedAndUnknownMessages() {
+    FakeCluster C;
+    const Bytes Whole = encodeMessage(FakeCluster::putProfile("x"));
+    for (std::size_t Size = 0; Size < Whole.size(); Size += 7) {
+      FakeOperator Op;
+      C.open(Op, 0);
+      C.event(0, LinkReceived{Op.Link, {Whole.begin(), Whole.begin() + Size}});
+      assertRefused(Op, ErrorCode::MessageMalformed);
+    }
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.event(0, LinkReceived{Op.Link, {0x82, 0x18, 0x63, 0x80}});
+    assertRefused(Op, ErrorCode::MessageUnknownType);
+    CPPUNIT_ASSERT(C.Committed.empty());
+  }
+
+  /// Guards against commands from links that proved nothing.
+  void refusesMessagesBeforeHello() {
+    FakeCluster C;
+    FakeOperator Op;
+    Op.Link = ++C.LastLink;
+    C.OperatorLinks[Op.Link] = &Op;
+    C.event(0, LinkOpened{Op.Link});
+    C.send(Op, FakeCluster::putProfile("x"));
+    assertRefused(Op, ErrorCode::MessageMalformed);
+    C.Held.clear();
+    CPPUNIT_ASSERT(C.Committed.empty());
+  }
+
+  /// Guards against idle links that use up the limit.
+  void closesLinksThatNeverProveTheKey() {
+    FakeCluster C;
+    FakeOperator Op;
+    Op.Link = ++C.LastLink;
+    C.OperatorLinks[Op.Link] = &Op;
+    C.event(0, LinkOpened{Op.Link});
+    C.run(GreetingLimit);
+    CPPUNIT_ASSERT(!Op.Closed);
+    C.run(milliseconds(100));
+    CPPUNIT_ASSERT(Op.Closed);
+  }
+
+  /// Guards against a member that acts in another member's name.
+  void refusesOthersAnnouncementsAndPeerMessages() {
+    FakeCluster C;
+    Hello Claim = FakeCluster::operatorHello();
+    Claim.Sender = Role::Entry;
+    Claim.Name = "e1";
+    FakeOperator Op;
+    C.open(Op, 0, Claim);
+    C.send(Op, Announce{control::EntryAnnouncement{"e2", "dc", {1, 1}, 1}});
+    assertRefused(Op, ErrorCode::UnknownMember);
+    C.open(Op, 0, Claim);
+    C.send(Op, PeerMessage{{1, 2, 3}});
+    assertRefused(Op, ErrorCode::UnknownMember);
+    CPPUNIT_ASSERT(C.Committed.empty());
+  }
+
+  /// Guards against an accepted command that a crash then undoes.
+  void answersCommandsOnceCommitted() {
+    FakeCluster C;
+    C.HoldCommits = true;
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.send(Op, FakeCluster::putProfile("1"));
+    C.run(seconds(1));
+    CPPUNIT_ASSERT(Op.last<CommandResult>() == nullptr);
+    C.commitHeld();
+    CPPUNIT_ASSERT(Op.last<CommandResult>()->Decided->Accepted);
+  }
+
+  /// Guards against a second run of a command whose answer got lost, also at
+  /// another leader.
+  void resendGetsTheFirstResult() {
+    FakeCluster C;
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.send(Op, FakeCluster::putProfile("1"));
+    const CommandResult First = *Op.last<CommandResult>();
+    C.open(Op, 0);
+    C.send(Op, FakeCluster::putProfile("1"));
+    CPPUNIT_ASSERT(*Op.last<CommandResult>() == First);
+    C.elect(2);
+    C.open(Op, 2);
+    C.send(Op, FakeCluster::putProfile("1"));
+    CPPUNIT_ASSERT(*Op.last<CommandResult>() == First);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), C.Committed.size());
+  }
+
+  /// Guards against a resend that is answered while the first is undecided.
+  void resendBeforeTheCommitIsProposedOnce() {
+    FakeCluster C;
+    C.HoldCommits = true;
+    FakeOperator Lost;
+    C.open(Lost, 0);
+    C.send(Lost, FakeCluster::putProfile("1"));
+    C.event(0, LinkEnded{Lost.Link});
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.send(Op, FakeCluster::putProfile("1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), C.Held.size());
+    C.commitHeld();
+    CPPUNIT_ASSERT(Op.last<CommandResult>()->Decided->Accepted);
+  }
+
+  /// Guards against two operators who both believe their change was made.
+  void racingOperatorsGetOneConflict() {
+    FakeCluster C;
+    FakeOperator A;
+    FakeOperator B;
+    C.open(A, 0);
+    C.send(A, FakeCluster::putProfile("1"));
+    const std::uint64_t Seen = C.At;
+    // Both see the same revision; B comes through a host that doesn't lead.
+    C.open(B, 1);
+    C.send(B, FakeCluster::putProfile("b", Seen, 1.2));
+    CPPUNIT_ASSERT(B.last<CommandResult>()->Failure->Code ==
+                   ErrorCode::NotLeader);
+    C.HoldCommits = true;
+    C.open(B, B.last<CommandResult>()->Leader->Address.Port - 1000);
+    C.send(A, FakeCluster::putProfile("a", Seen, 1.3));
+    C.send(B, FakeCluster::putProfile("b", Seen, 1.2));
+    C.commitHeld();
+    CPPUNIT_ASSERT(A.last<CommandResult>()->Decided->Accepted);
+    const CommandResult &Second = *B.last<CommandResult>();
+    CPPUNIT_ASSERT(!Second.Decided->Accepted);
+    CPPUNIT_ASSERT(Second.Decided->Reason.Code == ErrorCode::RevisionConflict);
+  }
+
+  /// Guards against an operator who doesn't learn where to go.
+  void followersNameTheLeader() {
+    FakeCluster C;
+    FakeOperator Op;
+    C.open(Op, 2);
+    C.send(Op, FakeCluster::putProfile("1"));
+    const CommandResult &No = *Op.last<CommandResult>();
+    CPPUNIT_ASSERT(No.Failure->Code == ErrorCode::NotLeader);
+    CPPUNIT_ASSERT(No.Leader && No.Leader->Address == FakeCluster::address(0));
+    C.send(Op, Query{5, QueryKind::Status, {}});
+    const QueryResult &Result = *Op.last<QueryResult>();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Result.Id);
+    CPPUNIT_ASSERT(Result.Failure->Code == ErrorCode::NotLeader);
+    CPPUNIT_ASSERT(!Op.Closed);
+  }
+
+  /// Guards against "not run" for a command that the next leader commits.
+  void commandsInFlightAreUnknownAfterLossOfLeadership() {
+    FakeCluster C;
+    C.HoldCommits = true;
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.send(Op, FakeCluster::putProfile("1"));
+    C.elect(1);
+    CPPUNIT_ASSERT(Op.last<CommandResult>()->Failure->Code ==
+                   ErrorCode::OutcomeUnknown);
+  }
+
+  /// Guards against an old answer from a partitioned leader.
+  void readsNeedTheLease() {
+    FakeCluster C;
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.send(Op, Query{1, QueryKind::Status, {}});
+    CPPUNIT_ASSERT(Op.last<QueryResult>()->Document.has_value());
+    C.Partitioned = {0};
+    C.send(Op, Query{2, QueryKind::Status, {}});
+    CPPUNIT_ASSERT(Op.last<QueryResult>()->Failure->Code ==
+                   ErrorCode::NoQuorum);
+  }
+
+  /// Guards against an operator who retires a healthy upstream.
+  void refusesCommandsThatAreNotOperators() {
+    FakeCluster C;
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.send(Op, CommandRequest{{"1", control::RetireEntry{"e1"}}});
+    CPPUNIT_ASSERT(Op.last<CommandResult>()->Failure->Code ==
+                   ErrorCode::InvalidArgument);
+    C.send(Op, FakeCluster::putProfile(""));
+    CPPUNIT_ASSERT(Op.last<CommandResult>()->Failure->Code ==
+                   ErrorCode::InvalidArgument);
+    CPPUNIT_ASSERT(C.Committed.empty());
+  }
+
+  /// Guards against "in force everywhere" while a host is silent.
+  void tellsWhereARevisionIsInForce() {
+    FakeCluster C;
+    C.addEntry("e1", 1);
+    C.addEntry("e2", 2);
+    C.run(milliseconds(300));
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.send(Op, Query{1, QueryKind::InForce, {}});
+    const nlohmann::json All = *Op.last<QueryResult>()->Document;
+    CPPUNIT_ASSERT(All["everywhere"].get<bool>());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), All["hosts"].size());
+    C.Daemons.at("e2").Silent = true;
+    C.Daemons.at("e2").State.Now = ClientState::Phase::Stopped;
+    C.run(SilenceLimit + milliseconds(100));
+    C.open(Op, 0);
+    C.send(Op, Query{2, QueryKind::InForce, {}});
+    const nlohmann::json Some = *Op.last<QueryResult>()->Document;
+    CPPUNIT_ASSERT(!Some["everywhere"].get<bool>());
+    CPPUNIT_ASSERT(Some["silent"] == nlohmann::json::array({"e2"}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlServerTest);
+
+} // namespace
