Check the control daemons as processes

scripts/control-process-test starts three daemons on loopback with temporary data folders, and probes them with examples/control_probe.cpp. First run: the probe died, because a hub called an empty handler; empty handlers now do nothing.

--- /dev/null
+++ b/examples/control_probe.cpp
@@ -0,0 +1,181 @@
+// Shows how a program uses links: as an operator it puts a profile through
+// whichever control host leads, as an entry host it registers and follows the
+// configuration. scripts/control-process-test runs it against real daemons.
+//
+//   control-probe put KEY ID EXPECTED HOST:PORT...   prints the result
+//   control-probe follow KEY NAME SECONDS HOST:PORT...  prints each revision
+#include "jasminearch/clock.h"
+#include "jasminearch/link/control_client.h"
+#include "jasminearch/link/handshake.h"
+#include "jasminearch/link/link.h"
+#include "jasminearch/settings.h"
+#include <chrono>
+#include <iostream>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace jasminearch;
+using namespace jasminearch::link;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto Cluster = "process-test";
+constexpr std::chrono::seconds PutLimit{10};
+constexpr unsigned RetryMilliseconds = 100;
+constexpr milliseconds AnswerLimit{1000};
+
+std::string addressOf(const Endpoint &E) {
+  const std::string Text = toString(E);
+  return Text.substr(0, Text.find(':'));
+}
+
+/// Sends one command until it is decided, always under the same id.
+class Put {
+public:
+  Put(std::string Key, control::Command Value, std::vector<Endpoint> Hosts)
+      : Key(std::move(Key)), Value(std::move(Value)), Hosts(std::move(Hosts)) {
+    LinkHandlers H;
+    H.Received = [this](LinkId Id, Bytes Encoded) {
+      if (Id == Link)
+        received(Encoded);
+    };
+    H.Closed = [this](LinkId Id) {
+      if (Id == Link)
+        Link = 0;
+    };
+    Hub = makeWebsocketHub(std::move(H), {});
+  }
+
+  int run() {
+    const auto Limit = std::chrono::steady_clock::now() + PutLimit;
+    Hub->every(RetryMilliseconds, [this, Limit] {
+      const auto Now = std::chrono::steady_clock::now();
+      if (Now > Limit)
+        Hub->stop();
+      else if (Link == 0 || Now - DialledAt > AnswerLimit)
+        dial(Hosts[Next++ % Hosts.size()]);
+    });
+    Hub->run();
+    if (Status != 0 && !Answered)
+      std::cout << "no answer\n";
+    return Status;
+  }
+
+private:
+  void dial(const Endpoint &To) {
+    if (Link != 0)
+      Hub->close(Link);
+    DialledAt = std::chrono::steady_clock::now();
+    Link = Hub->connect(addressOf(To), To.Port);
+  }
+
+  void received(const Bytes &Encoded) {
+    const auto M = decodeMessage(Encoded);
+    if (!M)
+      return Hub->stop();
+    if (const auto *Ask = std::get_if<Challenge>(&*M)) {
+      Hello Claim;
+      Claim.Cluster = Cluster;
+      Claim.Name = "probe";
+      Claim.Nonce = freshNonce();
+      Claim.Proof = helloProof(Key, Ask->Nonce, Claim);
+      Hub->send(Link, encodeMessage(Claim));
+    } else if (std::holds_alternative<Welcome>(*M)) {
+      Hub->send(Link, encodeMessage(CommandRequest{Value}));
+    } else if (const auto *Result = std::get_if<CommandResult>(&*M)) {
+      decided(*Result);
+    }
+  }
+
+  void decided(const CommandResult &Result) {
+    if (Result.Leader)
+      return dial(Result.Leader->Address);
+    if (!Result.Decided)
+      return;
+    Answered = true;
+    Status = Result.Decided->Accepted ? 0 : 1;
+    std::cout << (Result.Decided->Accepted
+                      ? "accepted " + std::to_string(Result.Decided->At.Number)
+                      : toString(Result.Decided->Reason))
+              << "\n";
+    Hub->stop();
+  }
+
+  std::string Key;
+  control::Command Value;
+  std::vector<Endpoint> Hosts;
+  std::unique_ptr<LinkHub> Hub;
+  LinkId Link = 0;
+  std::size_t Next = 0;
+  std::chrono::steady_clock::time_point DialledAt{};
+  bool Answered = false;
+  int Status = 1;
+};
+
+int put(const std::string &Key, const std::string &Id, std::uint64_t Expected,
+        std::vector<Endpoint> Hosts) {
+  control::Profile P;
+  P.Name = "probe";
+  return Put(Key, {Id, control::PutProfile{P, {Expected}}}, std::move(Hosts))
+      .run();
+}
+
+/// Prints a line with the time since the start for each event.
+int follow(const std::string &Key, const std::string &Name, int Seconds,
+           std::vector<Endpoint> Hosts) {
+  const SystemClock Time;
+  const TimePoint Start = Time.now();
+  std::mutex Printing;
+  const auto Print = [&](const std::string &What) {
+    const std::lock_guard Lock(Printing);
+    std::cout
+        << std::chrono::duration_cast<milliseconds>(Time.now() - Start).count()
+        << " " << What << std::endl;
+  };
+  ControlClientOptions O;
+  O.Cluster = Cluster;
+  O.Name = Name;
+  O.LinkKey = Key;
+  O.ControlHosts = std::move(Hosts);
+  O.Announcement = control::EntryAnnouncement{
+      Name,
+      "dc",
+      {0x7F000001, 9},
+      static_cast<std::uint64_t>(Time.wallTime().time_since_epoch().count())};
+  ControlClientHandlers H;
+  H.Configured = [&](auto Config) {
+    Print("revision " + std::to_string(Config->InForce.Number));
+  };
+  H.Announced = [&](UpstreamId, Incarnation) { Print("announced"); };
+  const auto Client = startControlClient(std::move(O), Time, std::move(H));
+  std::this_thread::sleep_for(std::chrono::seconds(Seconds));
+  Client->leave();
+  return 0;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  const std::vector<std::string> Words(Argv + 1, Argv + Argc);
+  constexpr std::size_t FirstHost = 4;
+  if (Words.size() <= FirstHost) {
+    std::cerr << "control-probe put|follow KEY ID|NAME EXPECTED|SECONDS "
+                 "HOST:PORT...\n";
+    return 2;
+  }
+  std::vector<Endpoint> Hosts;
+  for (std::size_t I = FirstHost; I < Words.size(); ++I) {
+    const auto Host = parseEndpoint(Words[I]);
+    if (!Host) {
+      std::cerr << toString(Host.error()) << "\n";
+      return 2;
+    }
+    Hosts.push_back(*Host);
+  }
+  if (Words[0] == "put")
+    return put(Words[1], Words[2], std::stoull(Words[3]), Hosts);
+  return follow(Words[1], Words[2], std::stoi(Words[3]), Hosts);
+}
--- a/include/jasminearch/link/link.h
+++ b/include/jasminearch/link/link.h
@@ -25,7 +25,7 @@
   std::size_t MaxQueuedBytes = 64U << 20U;
 };
 
-/// Called on the hub's thread, never concurrently.
+/// Called on the hub's thread, never concurrently. Any of them may be empty.
 struct LinkHandlers {
   /// A link is open; \p Incoming tells whether the other side opened it.
   std::function<void(LinkId, bool Incoming)> Opened;
@@ -68,7 +68,7 @@
   /// Calls \p Action on the hub's thread soon. Safe from any thread.
   virtual void post(std::function<void()> Action) = 0;
 
-  /// Serves links until stop() is called.
+  /// Serves links until stop() is called. May be called again then.
   virtual void run() = 0;
 
   /// Ends run(). Safe from any thread and from a signal-handling thread.
--- a/src/link/websocket_link.cpp
+++ b/src/link/websocket_link.cpp
@@ -49,7 +49,7 @@
 class WebsocketHub final : public LinkHub {
 public:
   WebsocketHub(LinkHandlers Handlers, LinkLimits Limits)
-      : Handlers(std::move(Handlers)), Limits(Limits) {
+      : Handlers(withDefaults(std::move(Handlers))), Limits(Limits) {
     prepare(Acceptor);
     prepare(Connector);
     Connector.set_open_handshake_timeout(HandshakeTimeoutMs);
@@ -144,6 +144,7 @@
   void run() override {
     const boost::asio::io_service::work KeepRunning(Service);
     Service.run();
+    Service.restart();
   }
 
   void stop() override { Service.stop(); }
@@ -163,6 +164,17 @@
     std::function<void()> Action;
   };
 
+  /// Handlers that aren't set do nothing.
+  static LinkHandlers withDefaults(LinkHandlers Given) {
+    if (!Given.Opened)
+      Given.Opened = [](LinkId, bool) {};
+    if (!Given.Received)
+      Given.Received = [](LinkId, const std::vector<std::uint8_t> &) {};
+    if (!Given.Closed)
+      Given.Closed = [](LinkId) {};
+    return Given;
+  }
+
   template <typename End> void prepare(End &Of) {
     Of.clear_access_channels(ws::log::alevel::all);
     Of.clear_error_channels(ws::log::elevel::all);
