Measure bucket tables, apply and the state; fuzz the control codec

Cause: the bound on imbalance, the share of moved flows and the cost at the target scale were not measured.

--- /dev/null
+++ b/bench/bench_bucket_table.cpp
@@ -0,0 +1,334 @@
+// Prints JSON lines: flows moved and imbalance over a series of planned
+// changes, beside two baselines; then the cost of apply and the size of the
+// state against the size of the deployment.
+#include "jasminearch/control/codec.h"
+#include "jasminearch/control/state_machine.h"
+#include "jasminearch/routing/bucket_table.h"
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <malloc.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+#include <xxhash.h>
+
+using namespace jasminearch;
+using namespace jasminearch::control;
+using nlohmann::json;
+
+namespace {
+
+/// Flows of each upstream at the start (docs/design.md, section 1.2).
+constexpr std::size_t FlowsPerUpstream = 2'000;
+
+/// The two deployments' weights.
+constexpr double FlowWeighted = 1.25;
+constexpr double BalanceWeighted = 1.02;
+
+std::uint64_t hash(std::uint64_t Value, std::uint64_t Seed = 0) {
+  return XXH3_64bits_withSeed(&Value, sizeof Value, Seed);
+}
+
+// Schemes ---------------------------------------------------------------------
+
+/// Chooses an owner for each flow after each change.
+struct Scheme {
+  std::string Name;
+  /// Takes the upstreams as they are now.
+  std::function<void(const std::vector<Upstream> &)> Update;
+  std::function<std::uint32_t(std::uint64_t Flow)> Owner;
+};
+
+Scheme bucketScheme(const std::string &Name, double MaxImbalance) {
+  auto Table = std::make_shared<BucketTable>();
+  Profile Rules;
+  Rules.MaxImbalance = MaxImbalance;
+  return {Name,
+          [=](const std::vector<Upstream> &All) {
+            *Table = routing::rebalanceBuckets(*Table, All, Rules);
+          },
+          [=](std::uint64_t Flow) {
+            return Table->Buckets[hash(Flow) % BucketsPerService].Owner.Number;
+          }};
+}
+
+std::vector<std::uint32_t> serving(const std::vector<Upstream> &All) {
+  std::vector<std::uint32_t> Ids;
+  for (const Upstream &U : All)
+    if (routing::serves(U))
+      Ids.push_back(U.Id.Number);
+  return Ids;
+}
+
+Scheme moduloScheme() {
+  auto Ids = std::make_shared<std::vector<std::uint32_t>>();
+  return {"modulo",
+          [=](const std::vector<Upstream> &All) { *Ids = serving(All); },
+          [=](std::uint64_t Flow) { return (*Ids)[hash(Flow) % Ids->size()]; }};
+}
+
+Scheme rendezvousScheme() {
+  auto Ids = std::make_shared<std::vector<std::uint32_t>>();
+  return {"rendezvous",
+          [=](const std::vector<Upstream> &All) { *Ids = serving(All); },
+          [=](std::uint64_t Flow) {
+            return *std::max_element(Ids->begin(), Ids->end(),
+                                     [=](std::uint32_t A, std::uint32_t B) {
+                                       return hash(Flow, A) < hash(Flow, B);
+                                     });
+          }};
+}
+
+// Planned changes -------------------------------------------------------------
+
+struct Change {
+  std::string Name;
+  std::function<void(std::vector<Upstream> &)> Make;
+};
+
+Upstream upstream(std::uint32_t Id) {
+  Upstream U;
+  U.Id = UpstreamId{Id};
+  U.Phase = UpstreamPhase::Active;
+  U.WarmUp = WarmUpSteps;
+  return U;
+}
+
+Change warmUp(std::size_t Place, std::uint8_t Step) {
+  return {"warm up " + std::to_string(Step) + "/4",
+          [=](std::vector<Upstream> &All) {
+            All[Place].WarmUp = Step;
+            All[Place].Phase = Step == WarmUpSteps ? UpstreamPhase::Active
+                                                   : UpstreamPhase::Cold;
+          }};
+}
+
+/// Drain and undrain, a new upstream, and a restart with its drain and loss.
+std::vector<Change> plannedChanges(std::size_t Count) {
+  const auto SetPhase = [](std::size_t Place, UpstreamPhase Phase) {
+    return [=](std::vector<Upstream> &All) { All[Place].Phase = Phase; };
+  };
+  std::vector<Change> Changes{
+      {"drain", SetPhase(0, UpstreamPhase::Draining)},
+      {"undrain", SetPhase(0, UpstreamPhase::Active)},
+      {"add", [=](std::vector<Upstream> &All) {
+         All.push_back(upstream(static_cast<std::uint32_t>(Count + 1)));
+         All.back().Phase = UpstreamPhase::Cold;
+         All.back().WarmUp = 1;
+       }}};
+  for (std::uint8_t Step = 2; Step <= WarmUpSteps; ++Step)
+    Changes.push_back(warmUp(Count, Step));
+  Changes.push_back({"restart: drain", SetPhase(1, UpstreamPhase::Draining)});
+  Changes.push_back({"restart: stop", SetPhase(1, UpstreamPhase::Lost)});
+  for (std::uint8_t Step = 1; Step <= WarmUpSteps; ++Step)
+    Changes.push_back(warmUp(1, Step));
+  return Changes;
+}
+
+/// Owners and load of all flows under one scheme.
+struct Measured {
+  std::vector<std::uint32_t> Owners;
+
+  /// \returns how many flows have another owner than before.
+  std::size_t update(const Scheme &Of, std::size_t Flows) {
+    std::vector<std::uint32_t> Next(Flows);
+    std::size_t Moved = 0;
+    for (std::size_t Flow = 0; Flow < Flows; ++Flow) {
+      Next[Flow] = Of.Owner(Flow);
+      Moved += !Owners.empty() && Owners[Flow] != Next[Flow] ? 1 : 0;
+    }
+    Owners = std::move(Next);
+    return Moved;
+  }
+
+  double imbalance(std::size_t Serving) const {
+    std::map<std::uint32_t, std::size_t> Load;
+    for (const std::uint32_t Owner : Owners)
+      ++Load[Owner];
+    std::size_t Busiest = 0;
+    for (const auto &[Owner, Count] : Load)
+      Busiest = std::max(Busiest, Count);
+    return static_cast<double>(Busiest * Serving) /
+           static_cast<double>(Owners.size());
+  }
+};
+
+void measureChanges(std::size_t Count, const Scheme &Of) {
+  std::vector<Upstream> All;
+  for (std::uint32_t Id = 1; Id <= Count; ++Id)
+    All.push_back(upstream(Id));
+  const std::size_t Flows = Count * FlowsPerUpstream;
+  Measured Now;
+  Of.Update(All);
+  Now.update(Of, Flows);
+  std::size_t Total = 0;
+  double Worst = Now.imbalance(Count);
+  const auto Print = [&](const std::string &Name, std::size_t Moved,
+                         double Imbalance) {
+    std::cout << json{{"bench", "changes"},
+                      {"upstreams", Count},
+                      {"scheme", Of.Name},
+                      {"change", Name},
+                      {"moved_share",
+                       static_cast<double>(Moved) / static_cast<double>(Flows)},
+                      {"busiest_over_mean", Imbalance}}
+              << "\n";
+  };
+  Print("start", 0, Worst);
+  for (const Change &Next : plannedChanges(Count)) {
+    Next.Make(All);
+    Of.Update(All);
+    const std::size_t Moved = Now.update(Of, Flows);
+    const double Imbalance = Now.imbalance(serving(All).size());
+    Total += Moved;
+    Worst = std::max(Worst, Imbalance);
+    Print(Next.Name, Moved, Imbalance);
+  }
+  Print("all changes (sum, worst)", Total, Worst);
+}
+
+// Scale -----------------------------------------------------------------------
+
+UpstreamAnnouncement announcement(std::size_t I, std::size_t Services,
+                                  std::uint64_t Run) {
+  const auto Port = static_cast<std::uint16_t>(1024 + I % 60'000);
+  return {"upstream-" + std::to_string(I),
+          "service-" + std::to_string(I % Services),
+          "centre-" + std::to_string(I % 4),
+          {0x0A000000U + static_cast<std::uint32_t>(I), Port},
+          7,
+          Run};
+}
+
+/// A deployment as its commands build it, all upstreams active.
+struct Deployment {
+  State S;
+  std::uint64_t At = 0;
+
+  void run(const CommandBody &Body) { apply(S, {"", Body}, Revision{++At}); }
+
+  Deployment(std::size_t Services, std::size_t Upstreams) {
+    Profile Rules;
+    Rules.Name = "default";
+    run(PutProfile{Rules, {}});
+    for (std::size_t I = 0; I < Services; ++I)
+      run(PutService{{{},
+                      "service-" + std::to_string(I),
+                      {0x0B000000U + static_cast<std::uint32_t>(I), 5683},
+                      "default",
+                      {}},
+                     {}});
+    for (std::size_t I = 0; I < Upstreams; ++I) {
+      run(AnnounceUpstream{announcement(I, Services, 1)});
+      const auto Id = UpstreamId{S.NextUpstream - 1};
+      run(ActivateUpstream{Id, S.Config.Upstreams.at(Id).Instance});
+    }
+  }
+};
+
+std::size_t heapBytes() { return mallinfo2().uordblks; }
+
+double microseconds(std::chrono::steady_clock::duration D) {
+  return std::chrono::duration<double, std::micro>(D).count();
+}
+
+/// Runs \p Make for many upstreams and prints median and 99th percentile.
+void measureApply(Deployment &D, const std::string &Name,
+                  const std::function<CommandBody(const Upstream &)> &Make) {
+  constexpr std::size_t Samples = 2'000;
+  std::vector<double> Times;
+  for (std::size_t I = 0; I < Samples; ++I) {
+    const auto Step = D.S.Config.Upstreams.size() / Samples;
+    const auto Id = UpstreamId{static_cast<std::uint32_t>(1 + I * Step)};
+    const Command C{"bench-" + Name + std::to_string(I),
+                    Make(D.S.Config.Upstreams.at(Id))};
+    const auto Start = std::chrono::steady_clock::now();
+    const CommandResult Result = apply(D.S, C, Revision{++D.At});
+    Times.push_back(microseconds(std::chrono::steady_clock::now() - Start));
+    if (!Result.Accepted) {
+      std::cerr << toString(Result.Reason) << "\n";
+      return;
+    }
+  }
+  std::sort(Times.begin(), Times.end());
+  std::cout << json{{"bench", "apply"},
+                    {"command", Name},
+                    {"services", D.S.Config.Services.size()},
+                    {"upstreams", D.S.Config.Upstreams.size()},
+                    {"median_us", Times[Samples / 2]},
+                    {"p99_us", Times[Samples * 99 / 100]}}
+            << "\n";
+}
+
+void measureAllApplies() {
+  Deployment D(4'400, 30'000);
+  measureApply(D, "drain", [](const Upstream &U) {
+    return SetDrain{U.Name, true, U.Changed};
+  });
+  measureApply(D, "undrain", [](const Upstream &U) {
+    return SetDrain{U.Name, false, U.Changed};
+  });
+  measureApply(D, "retire", [](const Upstream &U) {
+    return RetireUpstream{U.Id, U.Instance};
+  });
+  measureApply(D, "announce", [](const Upstream &U) {
+    return AnnounceUpstream{announcement(U.Id.Number - 1, 4'400, 2)};
+  });
+  measureApply(D, "warm up", [](const Upstream &U) {
+    return WarmUpstream{U.Id, U.Instance, 2};
+  });
+  measureApply(D, "activate", [](const Upstream &U) {
+    return ActivateUpstream{U.Id, U.Instance};
+  });
+  Profile Rules = D.S.Config.Profiles.at("default");
+  Rules.MaxImbalance = 1.01;
+  const auto Start = std::chrono::steady_clock::now();
+  apply(D.S, {"", PutProfile{Rules, Rules.Changed}}, Revision{++D.At});
+  std::cout << json{{"bench", "apply"},
+                    {"command", "change of a profile that all services use"},
+                    {"services", D.S.Config.Services.size()},
+                    {"upstreams", D.S.Config.Upstreams.size()},
+                    {"us",
+                     microseconds(std::chrono::steady_clock::now() - Start)}}
+            << "\n";
+}
+
+void measureSize(std::size_t Services, std::size_t Upstreams) {
+  const std::size_t Before = heapBytes();
+  const Deployment D(Services, Upstreams);
+  const std::size_t Used = heapBytes() - Before;
+  const auto Start = std::chrono::steady_clock::now();
+  const Bytes Encoded = encodeState(D.S);
+  const auto Middle = std::chrono::steady_clock::now();
+  const bool Decodes = decodeState(Encoded).has_value();
+  const auto End = std::chrono::steady_clock::now();
+  std::cout << json{{"bench", "size"},
+                    {"services", Services},
+                    {"upstreams", Upstreams},
+                    {"memory_bytes", Used},
+                    {"encoded_bytes", Encoded.size()},
+                    {"encode_ms", microseconds(Middle - Start) / 1000},
+                    {"decode_ms", microseconds(End - Middle) / 1000},
+                    {"decodes", Decodes}}
+            << "\n";
+}
+
+} // namespace
+
+int main() {
+  for (const std::size_t Count : {7, 3})
+    for (const Scheme &Of :
+         {bucketScheme("buckets, flow-weighted", FlowWeighted),
+          bucketScheme("buckets, balance-weighted", BalanceWeighted),
+          moduloScheme(), rendezvousScheme()})
+      measureChanges(Count, Of);
+  measureAllApplies();
+  measureSize(4, 20);
+  measureSize(40, 270);
+  measureSize(400, 2'700);
+  measureSize(1'300, 9'000);
+  measureSize(4'400, 30'000);
+}
--- /dev/null
+++ b/fuzz/fuzz_control_codec.cpp
@@ -0,0 +1,59 @@
+#include "jasminearch/control/codec.h"
+#include "jasminearch/control/state_machine.h"
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+
+using namespace jasminearch;
+using namespace jasminearch::control;
+
+namespace {
+
+/// Ends the run with a report, also in builds without assertions.
+void require(bool Holds) {
+  if (!Holds)
+    std::abort();
+}
+
+/// A decoded command must be decided without a crash and encode again.
+void checkCommand(const Bytes &Input) {
+  const auto Decoded = decodeCommand(Input);
+  if (!Decoded)
+    return require(Decoded.error().Code == ErrorCode::MessageMalformed);
+  require(encodeCommand(*Decoded) == Input);
+  State S;
+  const CommandResult First = apply(S, *Decoded, Revision{1});
+  const CommandResult Again = apply(S, *Decoded, Revision{2});
+  require(Decoded->Id.empty() || Decoded->Id.size() > MaxCommandIdLength ||
+          First == Again);
+}
+
+/// A decoded state must take any command without a crash.
+void checkState(const Bytes &Input) {
+  auto Decoded = decodeState(Input);
+  if (!Decoded)
+    return require(Decoded.error().Code == ErrorCode::MessageMalformed);
+  require(encodeState(*Decoded) == Input);
+  const Revision At{Decoded->Config.InForce.Number + 1};
+  for (const auto &[Id, U] : Configuration(Decoded->Config).Upstreams) {
+    apply(*Decoded, {"", SetDrain{U.Name, true, U.Changed}}, At);
+    apply(*Decoded, {"", RetireUpstream{Id, U.Instance}}, At);
+    apply(*Decoded, {"", ForgetUpstream{U.Name, U.Changed}}, At);
+  }
+}
+
+} // namespace
+
+/// Decodes arbitrary bytes as a command, as a state, and as JSON of a daemon's
+/// report. The first byte chooses.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  if (Size == 0)
+    return 0;
+  const Bytes Input(Data + 1, Data + Size);
+  if (Data[0] % 2 == 0)
+    checkCommand(Input);
+  else
+    checkState(Input);
+  return 0;
+}
