--- a/include/jasminearch/routing/entry_relay.h
+++ b/include/jasminearch/routing/entry_relay.h
@@ -1,11 +1,11 @@
 #ifndef JASMINEARCH_ROUTING_ENTRY_RELAY_H
 #define JASMINEARCH_ROUTING_ENTRY_RELAY_H
 
+#include "jasminearch/log.h"
 #include "jasminearch/net/datagram_batch.h"
 #include "jasminearch/routing/entry_counts.h"
 #include "jasminearch/routing/entry_router.h"
 #include "jasminearch/types.h"
-#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <mutex>
@@ -13,18 +13,35 @@
 /// Moves batches of datagrams between sockets as entry_router.h decides.
 namespace jasminearch::routing {
 
-/// Hands the snapshot in force from the control thread to traffic threads.
+/// Hands the snapshot in force from the control thread to traffic threads,
+/// which load it once for each batch. A mutex, because the thread sanitizer
+/// reports a race inside std::atomic<std::shared_ptr> of g++ 12's library.
 class RoutingSlot {
 public:
-  std::shared_ptr<const RoutingSnapshot> load() const { return Value.load(); }
+  std::shared_ptr<const RoutingSnapshot> load() const {
+    const std::scoped_lock Lock(ValueMutex);
+    return Value;
+  }
 
   void store(std::shared_ptr<const RoutingSnapshot> Next) {
-    Value.store(std::move(Next));
+    const std::scoped_lock Lock(ValueMutex);
+    // The former snapshot is freed with Next, after the lock is released.
+    Value.swap(Next);
   }
 
 private:
-  std::atomic<std::shared_ptr<const RoutingSnapshot>> Value{
-      std::make_shared<const RoutingSnapshot>()};
+  mutable std::mutex ValueMutex;
+  std::shared_ptr<const RoutingSnapshot> Value =
+      std::make_shared<const RoutingSnapshot>();
+};
+
+/// What a relay logs. Both kinds are rate-limited.
+struct RelayLog {
+  /// Whether datagrams that pass are logged, at debug level.
+  bool Datagrams = false;
+  LogLimiter Passed{20};
+  /// Datagrams that the routing refuses are logged as warnings.
+  LogLimiter Refused{1};
 };
 
 /// One direction of an entry host's traffic. One thread uses it, except for
@@ -36,7 +53,7 @@
   /// \param Fabric where datagrams for callers go.
   EntryRelay(const RoutingSlot &Routing, const net::UdpSocket &From,
              const net::UdpSocket &To, Endpoint Return, Endpoint Fabric,
-             TraceSource Traces);
+             TraceSource Traces, RelayLog Log = {});
 
   /// Takes one batch of the fabric's datagrams and hands it to agents.
   /// \returns the number received; zero when none came in time.
@@ -54,6 +71,9 @@
                absl::Span<const std::uint8_t> Datagram);
   void answer(const RoutingSnapshot &InForce,
               absl::Span<const std::uint8_t> Datagram);
+  void logForward(const ForwardDecision &Decision);
+  void logAnswer(const wire::FrameHeader &Frame,
+                 const AnswerDecision &Decision);
   void send();
 
   const RoutingSlot &Routing;
@@ -62,6 +82,7 @@
   Endpoint Return;
   Endpoint Fabric;
   TraceSource Traces;
+  RelayLog Log;
   net::ReceiveBatch In;
   net::SendBatch Out;
   /// Guards Counts; taken once for each batch.
