Bound the entry host's outcome report

Cause: at 4,400 services the report took 255,010 bytes every 10 s, 25.5 KB/s for a daemon whose whole control traffic may take 20 KB/s.

Change: services with ids up to 512 are named; those behind are summed under service zero.

Ruled out: naming the services with the most events, because a sum under service zero would decrease when a service becomes named, and readers take counts as cumulative.

--- a/include/jasminearch/routing/entry_counts.h
+++ b/include/jasminearch/routing/entry_counts.h
@@ -5,6 +5,7 @@
 #include "jasminearch/routing/entry_router.h"
 #include "jasminearch/types.h"
 #include <absl/container/flat_hash_map.h>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -59,7 +60,15 @@
   std::uint64_t Refused = 0;
 };
 
+/// Services with ids up to this one are named in a report. A count takes 58 to
+/// 98 bytes in a message, so that 4,400 services every 10 s would take over
+/// 25 KB/s, more than a daemon's whole control traffic may (20 KB/s).
+inline constexpr std::uint32_t LastServiceReported = 512;
+
 /// Makes the outcome report of an entry host. Counts of zero are left out.
+/// Services behind LastServiceReported are summed under service zero. The limit
+/// is an id, not a number of services, so that no sum ever decreases because a
+/// service is named from now on.
 ///
 /// - NoMisdelivery holds for each answer that passed the checks or was dropped
 ///   by them.
--- a/src/routing/entry_counts.cpp
+++ b/src/routing/entry_counts.cpp
@@ -9,15 +9,32 @@
 using control::Promise;
 using control::PromiseCount;
 
-void reportService(std::vector<PromiseCount> &Report, ServiceId Id,
-                   const ServiceCounts &Counts) {
-  const std::uint64_t Checked = Counts.Answered + Counts.RefusedAnswers;
-  if (Checked > 0)
-    Report.push_back({Id, Promise::NoMisdelivery, Checked, 0, 0, ""});
-  if (Counts.NoUpstream > 0)
-    Report.push_back({Id, Promise::WholeAnswers, 0, 0, Counts.NoUpstream,
-                      "entry host had no upstream for " +
-                          std::to_string(Counts.NoUpstream) + " datagrams"});
+std::string noUpstreamEvidence(std::uint64_t Datagrams) {
+  return "entry host had no upstream for " + std::to_string(Datagrams) +
+         " datagrams";
+}
+
+PromiseCount heldCount(ServiceId Id, std::uint64_t Answers) {
+  return {Id, Promise::NoMisdelivery, Answers, 0, 0, ""};
+}
+
+PromiseCount unknownCount(ServiceId Id, std::uint64_t Datagrams) {
+  return {Id,        Promise::WholeAnswers,        0, 0,
+          Datagrams, noUpstreamEvidence(Datagrams)};
+}
+
+/// Sums for one service, or for all that a report doesn't name.
+struct ReportedSums {
+  std::uint64_t Checked = 0;
+  std::uint64_t Dropped = 0;
+};
+
+void reportSums(std::vector<PromiseCount> &Report, ServiceId Id,
+                const ReportedSums &Sums) {
+  if (Sums.Checked > 0)
+    Report.push_back(heldCount(Id, Sums.Checked));
+  if (Sums.Dropped > 0)
+    Report.push_back(unknownCount(Id, Sums.Dropped));
 }
 
 } // namespace
@@ -70,14 +87,21 @@
 promiseCounts(const EntryCounts &Counts,
               const ConfigurationCounts &Configurations) {
   std::vector<PromiseCount> Report;
-  for (const auto &[Id, Service] : Counts.Services)
-    reportService(Report, Id, Service);
+  ReportedSums Rest{Counts.UnknownService, 0};
+  for (const auto &[Id, Service] : Counts.Services) {
+    const ReportedSums Sums{Service.Answered + Service.RefusedAnswers,
+                            Service.NoUpstream};
+    if (Id.Number <= LastServiceReported) {
+      reportSums(Report, Id, Sums);
+      continue;
+    }
+    Rest.Checked += Sums.Checked;
+    Rest.Dropped += Sums.Dropped;
+  }
+  reportSums(Report, {}, Rest);
   const std::uint64_t Kept = Configurations.Accepted + Configurations.Refused;
   if (Kept > 0)
     Report.push_back({{}, Promise::ConfigurationHolds, Kept, 0, 0, ""});
-  if (Counts.UnknownService > 0)
-    Report.push_back(
-        {{}, Promise::NoMisdelivery, Counts.UnknownService, 0, 0, ""});
   // The map's order differs between runs.
   std::sort(Report.begin(), Report.end());
   return Report;
--- a/tests/entry_relay_test.cpp
+++ b/tests/entry_relay_test.cpp
@@ -1,3 +1,4 @@
+#include "jasminearch/link/messages.h"
 #include "jasminearch/routing/entry_relay.h"
 #include "jasminearch/wire/frame.h"
 #include "jasminearch/wire/proxy_header.h"
@@ -85,6 +86,7 @@
   CPPUNIT_TEST(survivesLargestDatagrams);
   CPPUNIT_TEST(takesSnapshotsWhileTrafficRuns);
   CPPUNIT_TEST(reportsOutcomes);
+  CPPUNIT_TEST(boundsTheReport);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a path that loses or changes a caller's datagram.
@@ -235,6 +237,31 @@
          "entry host had no upstream for 3 datagrams"}};
     CPPUNIT_ASSERT(Wanted == promiseCounts(First, {3, 2}));
   }
+
+  /// Guards against reports whose size grows with thousands of services, and
+  /// against events that a bounded report leaves out.
+  void boundsTheReport() {
+    constexpr std::uint32_t Services = 4'400;
+    EntryCounts Counts;
+    for (std::uint32_t Id = 1; Id <= Services; ++Id)
+      Counts.Services[{Id}] = {0, Id, Id, 0};
+    const std::vector<PromiseCount> Report = promiseCounts(Counts, {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2} * (LastServiceReported + 1),
+                         Report.size());
+    std::uint64_t Held = 0;
+    std::uint64_t Unknown = 0;
+    for (const PromiseCount &C : Report) {
+      Held += C.Held;
+      Unknown += C.Unknown;
+      CPPUNIT_ASSERT(C.Service.Number <= LastServiceReported);
+    }
+    constexpr std::uint64_t Sum = std::uint64_t{Services} * (Services + 1) / 2;
+    CPPUNIT_ASSERT_EQUAL(Sum, Held);
+    CPPUNIT_ASSERT_EQUAL(Sum, Unknown);
+    const link::Message Message = link::OutcomeReport{{"entry-1", 1, Report}};
+    // 20 KB/s for 10 s.
+    CPPUNIT_ASSERT(link::encodeMessage(Message).size() < 200'000);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryRelayTest);
