Test the remaining safety rules of the replicated log

No test noticed four of them: the storage id of an append reply, the addressee's storage id, one membership change at a time, and commit by counting in the own term only. The test of the own-term rule for membership changes passed without the rule as well, because the uncommitted first list stood in the way too.

--- a/tests/consensus_node_test.cpp
+++ b/tests/consensus_node_test.cpp
@@ -18,7 +18,7 @@
       {1, 1, EntryKind::Membership,
        encodeMembers(
            {{"a", "sa", true}, {"b", "sb", true}, {"c", "sc", true}})});
-  return makeNode({Host, "s" + Host, {"a", "b", "c", "d"}, 1, 0},
+  return makeNode({Host, "s" + Host, {"a", "b", "c", "d", "e"}, 1, 0},
                   std::move(Stored), Now);
 }
 
@@ -45,6 +45,8 @@
   CPPUNIT_TEST_SUITE(ConsensusNodeTest);
   CPPUNIT_TEST(preVoteKeepsTerm);
   CPPUNIT_TEST(countsVotesOfMemberDisksOnly);
+  CPPUNIT_TEST(countsCopiesOnMemberDisksOnly);
+  CPPUNIT_TEST(commitsOldTermsOnlyWithItsOwn);
   CPPUNIT_TEST(restartedHostWaitsForLease);
   CPPUNIT_TEST(votesOncePerTerm);
   CPPUNIT_TEST(membershipWaitsForOwnTerm);
@@ -69,11 +71,41 @@
     campaign(Node, Now);
     receive(Node, "b", {"empty", "sa", 2, VoteReply{false, true}}, Now);
     receive(Node, "d", {"sd", "sa", 2, VoteReply{false, true}}, Now);
+    receive(Node, "b", {"sb", "lost", 2, VoteReply{false, true}}, Now);
     CPPUNIT_ASSERT(Node.Is == Role::Candidate);
     receive(Node, "b", {"sb", "sa", 2, VoteReply{false, true}}, Now);
     CPPUNIT_ASSERT(Node.Is == Role::Leader);
   }
 
+  /// Guards against an entry that counts as accepted because a disk that is no
+  /// longer there acknowledged it, and a lease that such a disk confirms.
+  void countsCopiesOnMemberDisksOnly() {
+    TimePoint Now{};
+    NodeState Node = nodeOf("a", Now);
+    campaign(Node, Now);
+    receive(Node, "b", {"sb", "sa", 2, VoteReply{false, true}}, Now);
+    markSynced(Node);
+    const AppendReply Reply{{Now.time_since_epoch().count(), 1}, true, 1, 2};
+    receive(Node, "b", {"empty", "sa", 2, Reply}, Now);
+    CPPUNIT_ASSERT_EQUAL(LogIndex{0}, Node.Committed);
+    CPPUNIT_ASSERT(!quorumConfirmed(Node, Now));
+    receive(Node, "b", {"sb", "sa", 2, Reply}, Now);
+    CPPUNIT_ASSERT_EQUAL(LogIndex{2}, Node.Committed);
+    CPPUNIT_ASSERT(quorumConfirmed(Node, Now));
+  }
+
+  /// Guards against an old entry that counts as accepted by its copies while
+  /// another host can still win an election without it.
+  void commitsOldTermsOnlyWithItsOwn() {
+    TimePoint Now{};
+    NodeState Node = nodeOf("a", Now);
+    campaign(Node, Now);
+    receive(Node, "b", {"sb", "sa", 2, VoteReply{false, true}}, Now);
+    markSynced(Node);
+    receive(Node, "b", {"sb", "sa", 2, AppendReply{{}, true, 1, 1}}, Now);
+    CPPUNIT_ASSERT_EQUAL(LogIndex{0}, Node.Committed);
+  }
+
   /// Guards against a restart that forgets the promise of a lease.
   void restartedHostWaitsForLease() {
     const TimePoint Start{};
@@ -106,6 +138,9 @@
   void membershipWaitsForOwnTerm() {
     TimePoint Now{};
     NodeState Node = nodeOf("a", Now);
+    // The list in force is known to be committed, so that only the rule under
+    // test stands in the way.
+    receive(Node, "c", {"sc", "sa", 1, AppendRequest{{}, 1, 1, 1, {}}}, Now);
     campaign(Node, Now);
     Effects Step =
         receive(Node, "b", {"sb", "sa", 2, VoteReply{false, true}}, Now);
@@ -124,6 +159,10 @@
     tick(Node, Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, membersOf(Node).size());
     CPPUNIT_ASSERT(!membersOf(Node).back().Voter);
+    // One change at a time.
+    receive(Node, "e", {"se", "", 0, JoinRequest{}}, Now);
+    tick(Node, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, membersOf(Node).size());
   }
 
   /// Guards against a leader that never gives up without a quorum.
