--- /dev/null
+++ b/fuzz/fuzz_log_store.cpp
@@ -0,0 +1,114 @@
+#include "jasminearch/consensus/detail/memory_folder.h"
+#include "jasminearch/consensus/detail/record.h"
+#include "jasminearch/consensus/log_store.h"
+#include <algorithm>
+#include <cstdlib>
+
+using namespace jasminearch;
+using namespace jasminearch::consensus;
+using jasminearch::consensus::detail::appendRecord;
+using jasminearch::consensus::detail::MemoryFiles;
+using jasminearch::consensus::detail::MemoryFolder;
+
+/// A data folder with damaged files. The first byte of the input chooses what
+/// is damaged and how; whatever loads must load the same again and must take a
+/// further entry.
+
+namespace {
+
+LogStoreOptions options() {
+  LogStoreOptions Options;
+  Options.Cluster = "fuzz";
+  Options.Host = "a";
+  Options.StorageId = "sa";
+  return Options;
+}
+
+MemoryFiles makeIntactFiles() {
+  MemoryFiles Files;
+  auto Store = LogStore::open(std::make_unique<MemoryFolder>(Files), options());
+  const auto Append = [&Store](LogIndex Index) {
+    (void)(*Store)->append({1, {}}, {{Index, 1, EntryKind::Data, {1, 2, 3}}});
+    (void)(*Store)->sync();
+  };
+  for (LogIndex Index = 1; Index <= 4; ++Index)
+    Append(Index);
+  auto Stored = (*Store)->load();
+  (void)(*Store)->saveSnapshot({2, 1, {{"a", "sa", true}}, {9}}, {1, {}},
+                               Stored->Log);
+  Append(5);
+  Append(6);
+  return Files;
+}
+
+/// Applies pairs of (position, value) from the input.
+void edit(Bytes &File, const Bytes &Input) {
+  constexpr std::size_t EditBytes = 3;
+  for (std::size_t At = 0; At + EditBytes <= Input.size(); At += EditBytes) {
+    const std::size_t Position = Input[At] | (Input[At + 1] << 8U);
+    if (Position < File.size())
+      File[Position] ^= Input[At + 2];
+    else
+      File.resize(Position % (File.size() + 1));
+  }
+}
+
+/// Makes a file of intact records whose bodies come from the input, each after
+/// one byte for its length.
+Bytes recordsFrom(const Bytes &Input) {
+  Bytes File;
+  for (std::size_t At = 0; At < Input.size();) {
+    const std::size_t End =
+        std::min<std::size_t>(Input.size(), At + 1 + Input[At]);
+    appendRecord(File, 0, 0,
+                 Bytes(Input.begin() + static_cast<long>(At) + 1,
+                       Input.begin() + static_cast<long>(End)));
+    At = End;
+  }
+  return File;
+}
+
+void check(MemoryFiles &Files) {
+  auto Store = LogStore::open(std::make_unique<MemoryFolder>(Files), options());
+  if (!Store)
+    return;
+  const auto First = (*Store)->load();
+  if (!First)
+    return;
+  if (First->Hard.Current == MaxNumber || lastIndex(First->Log) == MaxNumber)
+    return;
+  const LogEntry Next{
+      lastIndex(First->Log) + 1, First->Hard.Current + 1, EntryKind::Data, {7}};
+  if (!(*Store)->append({Next.InTerm, {}}, {Next}) || !(*Store)->sync())
+    std::abort();
+  const auto Second = (*Store)->load();
+  if (!Second || Second->Log.Entries.back() != Next ||
+      Second->Log.BaseIndex != First->Log.BaseIndex ||
+      Second->Log.Entries.size() != First->Log.Entries.size() + 1)
+    std::abort();
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  static const MemoryFiles Intact = makeIntactFiles();
+  static const char *const Names[] = {"log", "snapshot", "identity"};
+  if (Size < 1)
+    return 0;
+  const Bytes Input(Data + 1, Data + Size);
+  MemoryFiles Files = Intact;
+  Bytes &File = Files[Names[*Data % 3]];
+  switch (*Data / 3 % 3) {
+  case 0:
+    File = Input;
+    break;
+  case 1:
+    edit(File, Input);
+    break;
+  default:
+    File = recordsFrom(Input);
+  }
+  check(Files);
+  return 0;
+}
--- a/src/consensus/log_store.cpp
+++ b/src/consensus/log_store.cpp
@@ -125,7 +125,8 @@
     if (!Entry || !replay(State.Log, std::move(*Entry)))
       return false;
   }
-  const bool Valid = Reader.complete() && Hard.Current >= State.Hard.Current &&
+  const bool Valid = Reader.complete() && Hard.Current <= MaxNumber &&
+                     Hard.Current >= State.Hard.Current &&
                      lastTerm(State.Log) <= Hard.Current;
   State.Hard = Hard;
   return Valid;
@@ -138,7 +139,8 @@
   ArrayReader Reader(*Record);
   Log.BaseIndex = Reader.number();
   Log.BaseTerm = Reader.number();
-  return Reader.complete();
+  return Reader.complete() && Log.BaseIndex < MaxNumber &&
+         Log.BaseTerm <= MaxNumber;
 }
 
 Expected<StoredState> replayLog(const std::vector<Bytes> &Bodies) {
@@ -168,7 +170,9 @@
   Latest->InTerm = Reader.number();
   auto Members = detail::membersFrom(Reader.array());
   Latest->State = Reader.bytes();
-  if (!Reader.complete() || !Members || Latest->Index == 0)
+  const bool InRange = Latest->Index > 0 && Latest->Index < MaxNumber &&
+                       Latest->InTerm <= MaxNumber;
+  if (!Reader.complete() || !Members || !InRange)
     return corrupt(SnapshotName, "unknown content");
   Latest->Members = std::move(*Members);
   return Latest;
@@ -278,6 +282,10 @@
   LogSuperseded = !continues(State->Log, **Latest);
   if (LogSuperseded)
     State->Log = EntryLog{SnapshotIndex, SnapshotTerm, {}};
+  // The snapshot may be from a term that was to be written with the log. No
+  // vote was given in it.
+  if (State->Hard.Current < SnapshotTerm)
+    State->Hard = HardState{SnapshotTerm, {}};
   return State;
 }
 
--- a/tests/consensus_store_test.cpp
+++ b/tests/consensus_store_test.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(refusesFlippedByte);
   CPPUNIT_TEST(refusesDamageBeforeSyncedRecord);
   CPPUNIT_TEST(replacesConflictingEntries);
+  CPPUNIT_TEST(startsBetweenSnapshotAndLog);
   CPPUNIT_TEST(fullDiskChangesNothing);
   CPPUNIT_TEST(clusterSurvivesFullDiskAtEveryWrite);
   CPPUNIT_TEST(bootstrapSurvivesFailureAtEveryWrite);
@@ -132,6 +133,29 @@
     CPPUNIT_ASSERT(Stored->Hard == (HardState{2, {"control-2", "x"}}));
   }
 
+  /// Guards against a host that can't start after a crash between the two files
+  /// of a snapshot from a newer term than its log.
+  void startsBetweenSnapshotAndLog() {
+    const auto Disk = diskWithEntries();
+    auto Store = LogStore::open(openFakeFolder(Disk), optionsOf());
+    CPPUNIT_ASSERT((*Store)->load().has_value());
+    // Writing, syncing and renaming the snapshot are three operations.
+    Disk->FailAt = Disk->Operations + 4;
+    const Snapshot Latest{9, 4, {}, Bytes(10, 's')};
+    CPPUNIT_ASSERT(
+        !(*Store)->saveSnapshot(Latest, {5, {}}, {9, 4, {}}).has_value());
+    for (LogIndex Next = 10; Next <= 11; ++Next) {
+      Store = LogStore::open(openFakeFolder(Disk), optionsOf());
+      const auto Stored = (*Store)->load();
+      CPPUNIT_ASSERT(Stored.has_value());
+      CPPUNIT_ASSERT_EQUAL(Term{4}, Stored->Hard.Current);
+      CPPUNIT_ASSERT_EQUAL(Next - 1, lastIndex(Stored->Log));
+      CPPUNIT_ASSERT(
+          (*Store)->append(Stored->Hard, {entryOf(Next, 4)}).has_value());
+      CPPUNIT_ASSERT((*Store)->sync().has_value());
+    }
+  }
+
   /// Guards against a proposal that is refused but stays in the log.
   void fullDiskChangesNothing() {
     Exchange E(3);
