--- a/bench/bench_consensus.cpp
+++ b/bench/bench_consensus.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cmath>
 #include <condition_variable>
 #include <deque>
 #include <filesystem>
@@ -60,7 +61,7 @@
     return 0;
   std::sort(Values.begin(), Values.end());
   const auto Rank = static_cast<std::size_t>(
-      Part * static_cast<double>(Values.size() - 1) + 0.5);
+      std::lround(Part * static_cast<double>(Values.size() - 1)));
   return Values[Rank];
 }
 
--- a/tests/consensus_fakes.cpp
+++ b/tests/consensus_fakes.cpp
@@ -159,8 +159,9 @@
 ReplicatedLogHandlers Exchange::handlersFor(unsigned At) {
   Host &Own = host(At);
   ReplicatedLogHandlers Handlers;
-  Handlers.SendToPeer = [this, At](const std::string &To, Bytes Content) {
-    sent(At, To, std::move(Content));
+  Handlers.SendToPeer = [this, At](const std::string &To,
+                                   const Bytes &Content) {
+    sent(At, To, Content);
   };
   Handlers.Committed = [this, &Own](Revision Number, const Bytes &Entry) {
     committed(Own, Number.Number, Entry);
@@ -203,7 +204,8 @@
 }
 
 /// Checks sync before acknowledgement and election safety on what leaves.
-void Exchange::sent(unsigned From, const std::string &To, Bytes Content) {
+void Exchange::sent(unsigned From, const std::string &To,
+                    const Bytes &Content) {
   ++MessagesSent;
   BytesSent += Content.size();
   if (!host(From).Disk->logSynced())
--- a/tests/consensus_fakes.h
+++ b/tests/consensus_fakes.h
@@ -102,7 +102,7 @@
     unsigned To;
     Bytes Content;
   };
-  void sent(unsigned From, const std::string &To, Bytes Content);
+  void sent(unsigned From, const std::string &To, const Bytes &Content);
   void checkContent(unsigned From, const Bytes &Content);
   void committed(Host &At, std::uint64_t Revision, const Bytes &Entry);
   void checkReads();
