Count a refused older configuration as kept

The successor had revision 12 from its predecessor and was then offered revision 3; it refused, so nothing reverted. Change: the refusal counts as held and as a drop (stale_configuration).

--- a/src/agent/agent_logic.cpp
+++ b/src/agent/agent_logic.cpp
@@ -22,10 +22,10 @@
   if (C == nullptr)
     return;
   if (S.Config != nullptr && C->InForce < S.Config->InForce) {
-    count(In, control::Promise::ConfigurationHolds, Verdict::Broken,
-          "revision " + std::to_string(C->InForce.Number) +
-              " arrived after revision " +
-              std::to_string(S.Config->InForce.Number) + " and was refused");
+    // A successor has the configuration of its predecessor, and a control host
+    // that lags may offer an older one first. Refusing it keeps the promise.
+    drop(In, DropReason::StaleConfiguration);
+    count(In, control::Promise::ConfigurationHolds, Verdict::Held);
     return;
   }
   S.Config = C;
