Reissue the upstream's retransmissions under message ids of their own

Cause: after the kill of an entry host, lines and separate responses stayed silent for up to 30 s. The trace shows why: the caller's acknowledgement was lost with the entry host, the upstream retransmitted, and libcoap 4.3.1 at the caller doesn't acknowledge a confirmable response with the id of the one before. The upstream holds back everything else on that session (NSTART 1) until it gives up. A second fault lay beside it: the second copy of a 2.01 was passed on without the owner in its Location-Path.

Ruled out: answers sent through the dead entry host (agents leave it once it is committed as lost), lost observations (registrations were answered), and the fabric (its counts agree).

Change: the agent sends a retransmission under a new message id and translates the caller's acknowledgement or reset back; created paths keep their owner in every copy.

Conclusion: a lost acknowledgement costs one retransmission instead of the session.

--- a/include/jasminearch/agent/flow_table.h
+++ b/include/jasminearch/agent/flow_table.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace jasminearch::agent {
@@ -59,6 +60,12 @@
   std::uint16_t LastMessageId = 0;
 };
 
+/// Message id under which a retransmission of the upstream went to the caller.
+struct ReissuedMessageId {
+  std::uint16_t FromUpstream = 0;
+  std::uint16_t ToCaller = 0;
+};
+
 using BusyHook = boost::intrusive::list_member_hook<>;
 
 /// One caller's session with the upstream.
@@ -75,6 +82,9 @@
   std::uint8_t NextMessageIdPlace = 0;
   std::uint8_t MessageIdCount = 0;
   std::array<std::uint16_t, RememberedMessageIds> MessageIds{};
+  /// Latest last, at most RememberedMessageIds. Not handed over to a successor:
+  /// the upstream's next retransmission is reissued again.
+  std::vector<ReissuedMessageId> Reissued;
   std::vector<Exchange> Exchanges;
   std::vector<Line> Lines;
   /// Operations whose further blocks belong to this upstream.
@@ -146,6 +156,14 @@
 void rememberMessageId(Flow &Of, std::uint16_t MessageId);
 bool knowsMessageId(const Flow &Of, std::uint16_t MessageId);
 
+/// Remembers that the upstream's message went to the caller under another id.
+void rememberReissued(Flow &Of, const ReissuedMessageId &New);
+
+/// \returns the upstream's id of a message that the caller knows as \p
+/// ToCaller, or nothing if the upstream never used it in this flow.
+std::optional<std::uint16_t> upstreamMessageId(const Flow &Of,
+                                               std::uint16_t ToCaller);
+
 /// Remembers a block-wise transfer.
 void rememberTransfer(Flow &Of, std::uint64_t OperationKey);
 bool knowsTransfer(const Flow &Of, std::uint64_t OperationKey);
--- a/src/agent/flow_table.cpp
+++ b/src/agent/flow_table.cpp
@@ -149,6 +149,24 @@
   return std::find(Of.MessageIds.begin(), End, MessageId) != End;
 }
 
+void rememberReissued(Flow &Of, const ReissuedMessageId &New) {
+  if (Of.Reissued.size() >= RememberedMessageIds)
+    Of.Reissued.erase(Of.Reissued.begin());
+  Of.Reissued.push_back(New);
+}
+
+std::optional<std::uint16_t> upstreamMessageId(const Flow &Of,
+                                               std::uint16_t ToCaller) {
+  const auto Found = std::find_if(
+      Of.Reissued.rbegin(), Of.Reissued.rend(),
+      [&](const ReissuedMessageId &Id) { return Id.ToCaller == ToCaller; });
+  if (Found != Of.Reissued.rend())
+    return Found->FromUpstream;
+  if (knowsMessageId(Of, ToCaller))
+    return ToCaller;
+  return std::nullopt;
+}
+
 void rememberTransfer(Flow &Of, std::uint64_t OperationKey) {
   if (knowsTransfer(Of, OperationKey))
     return;
--- a/src/agent/probe_side.cpp
+++ b/src/agent/probe_side.cpp
@@ -61,7 +61,7 @@
   if (Known == nullptr)
     return false;
   if (What.Message.isEmpty())
-    return knowsMessageId(*Known, What.Message.MessageId);
+    return upstreamMessageId(*Known, What.Message.MessageId).has_value();
   if (isBlock(What.Message))
     return knowsTransfer(*Known, operationKey(What.Message));
   return findLine(*Known, What.Message.RequestToken) != nullptr;
@@ -81,9 +81,12 @@
   if (!What.Message.isEmpty())
     return deliverContinuing(In, What);
   Flow *To = flowFor(In, What);
-  deliver(In, *To, What, false);
+  const std::uint16_t MessageId = upstreamMessageId(*To, What.Message.MessageId)
+                                      .value_or(What.Message.MessageId);
+  In.Out.push_back(
+      SendUpstream{To->Id, buildEmpty(What.Message.Type, MessageId)});
   if (What.Message.Type == CoapType::Reset)
-    endLineByReset(In, *To, What.Message.MessageId);
+    endLineByReset(In, *To, MessageId);
 }
 
 void sendHeld(Step &In, const Arrival &What) {
--- a/src/agent/upstream_side.cpp
+++ b/src/agent/upstream_side.cpp
@@ -87,6 +87,20 @@
   sendToCaller(In, Of, Answer);
 }
 
+/// Sends a retransmission of the upstream under a message id of its own.
+/// libcoap 4.3.1 doesn't acknowledge a confirmable response that has the id of
+/// the one before. If that acknowledgement was lost, the upstream would hold
+/// back all further responses and notifications until it gives up, up to 93 s.
+void reissue(Step &In, Flow &Of, CoapMessage Message) {
+  const std::uint16_t FromUpstream = Message.MessageId;
+  Message.MessageId = nextMessageId(In);
+  const auto Built = buildCoap(Message);
+  if (!Built)
+    return drop(In, DropReason::MalformedCoap);
+  rememberReissued(Of, {FromUpstream, Message.MessageId});
+  sendToCaller(In, Of, withOwner(In.S, Message, *Built));
+}
+
 void handleResponse(Step &In, Flow &Of, const CoapMessage &Message,
                     absl::Span<const std::uint8_t> Datagram) {
   const Exchange *Open = findExchange(Of, Message.RequestToken);
@@ -108,7 +122,9 @@
     count(In, Promise::LinesSurvive, Verdict::Held);
     updateLine(In, Of, Message);
   }
-  sendToCaller(In, Of, Datagram);
+  if (Retransmitted && Message.Type == CoapType::Confirmable)
+    return reissue(In, Of, Message);
+  sendToCaller(In, Of, withOwner(In.S, Message, Datagram));
 }
 
 void handleEmpty(Step &In, Flow &Of, const CoapMessage &Message,
--- a/tests/agent_logic_test.cpp
+++ b/tests/agent_logic_test.cpp
@@ -168,6 +168,8 @@
   CPPUNIT_TEST(recordsAndAnswersAreBounded);
   CPPUNIT_TEST(flowsAreBounded);
   CPPUNIT_TEST(damagedHandoverIsRefused);
+  CPPUNIT_TEST(retransmissionsGetMessageIdsOfTheirOwn);
+  CPPUNIT_TEST(retransmittedCreationKeepsItsOwner);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a second run of a request, by a copy in whatever state.
@@ -670,6 +672,57 @@
     HandoverProgress Progress;
     CPPUNIT_ASSERT(!readHandover(Next, Progress, Cut, W.Now));
   }
+
+  /// \returns a confirmable response of the upstream to \p Request.
+  static Bytes separate(const Bytes &Request, std::uint16_t MessageId,
+                        bool Created) {
+    const CoapMessage Asked = wire::parseCoap(Request).value();
+    CoapMessage Out = answerTo(
+        Asked, Created ? wire::code::Created : wire::code::Changed, MessageId);
+    Out.Type = CoapType::Confirmable;
+    Out.MessageId = MessageId;
+    if (Created)
+      addOption(Out, wire::option::LocationPath, bytesOf("line"));
+    return buildCoap(Out).value();
+  }
+
+  /// Guards against a session that stalls when the acknowledgement of a
+  /// response is lost: libcoap 4.3.1 acknowledges a second copy only under
+  /// another message id.
+  void retransmissionsGetMessageIdsOfTheirOwn() {
+    constexpr std::uint16_t UpstreamId = 321;
+    World W;
+    const Reaction Ran = give(W, 0, build(permitted(W, 0, {})));
+    const FlowId Of = findFlow(W.Agents[0].S->Flows, CallerAt)->Id;
+    const Bytes Response = separate(Ran.Delivered.at(0), UpstreamId, false);
+    const Reaction First = react(W, 0, UpstreamReceived{Of, Response});
+    CPPUNIT_ASSERT_EQUAL(UpstreamId,
+                         wire::parseCoap(First.Answers.at(0))->MessageId);
+    const Reaction Second = react(W, 0, UpstreamReceived{Of, Response});
+    const auto Again = wire::parseCoap(Second.Answers.at(0)).value();
+    CPPUNIT_ASSERT(UpstreamId != Again.MessageId);
+    for (CoapType Type : {CoapType::Acknowledgement, CoapType::Reset}) {
+      const Reaction Told = give(W, 0, wire::buildEmpty(Type, Again.MessageId));
+      const auto Sent = wire::parseCoap(Told.Delivered.at(0)).value();
+      CPPUNIT_ASSERT(Type == Sent.Type);
+      CPPUNIT_ASSERT_EQUAL(UpstreamId, Sent.MessageId);
+    }
+  }
+
+  /// Guards against a caller that learns a line's path without its owner, from
+  /// the second copy of the response that created it.
+  void retransmittedCreationKeepsItsOwner() {
+    World W;
+    const Reaction Ran = give(W, 0, build(permitted(W, 0, {})));
+    const FlowId Of = findFlow(W.Agents[0].S->Flows, CallerAt)->Id;
+    const Bytes Response = separate(Ran.Delivered.at(0), 321, true);
+    for (int Copy = 0; Copy < 2; ++Copy) {
+      const Reaction Told = react(W, 0, UpstreamReceived{Of, Response});
+      const auto Answer = wire::parseCoap(Told.Answers.at(0)).value();
+      const auto Path = findOption(Answer, wire::option::LocationPath).value();
+      CPPUNIT_ASSERT_EQUAL('~', textOf(Path).front());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentLogicTest);
