--- a/tests/agent_traffic_loop_test.cpp
+++ b/tests/agent_traffic_loop_test.cpp
@@ -23,7 +23,8 @@
     sockaddr_in Any{};
     Any.sin_family = AF_INET;
     Any.sin_addr.s_addr = htonl(Loopback);
-    bind(Socket, reinterpret_cast<const sockaddr *>(&Any), sizeof(Any));
+    CPPUNIT_ASSERT_EQUAL(
+        0, bind(Socket, reinterpret_cast<const sockaddr *>(&Any), sizeof(Any)));
     const timeval Wait{2, 0};
     setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Wait, sizeof(Wait));
   }
