--- a/include/jasminearch/link/control_server.h
+++ b/include/jasminearch/link/control_server.h
@@ -160,6 +160,18 @@
     std::variant<SendToLink, CloseLink, DialPeer, SendToPeer, HangUpPeer,
                  Propose, DeliverToLog, ServerNotice>;
 
+/// A snapshot that subscribers are sent. Parts are encoded when the first
+/// subscriber needs them, a few in each tick: 36 MB at once took 518 ms, longer
+/// than the election timeout.
+struct SharedSnapshot {
+  std::vector<control::SnapshotPart> Parts;
+  /// Null until needed; the part is then emptied.
+  std::vector<std::shared_ptr<const Bytes>> Encoded;
+};
+
+/// Parts of about 1 MB that are encoded in one tick.
+inline constexpr std::size_t PartsPerTick = 2;
+
 /// A link that another process opened.
 struct ServedLink {
   bool Welcomed = false;
@@ -181,7 +193,7 @@
   /// Revision that the subscriber has once it has taken everything sent.
   Revision Sent;
   /// Snapshot that is being sent, and its next part.
-  std::shared_ptr<const std::vector<std::shared_ptr<const Bytes>>> Parts;
+  std::shared_ptr<SharedSnapshot> Parts;
   std::size_t NextPart = 0;
   Revision PartsAt;
 };
@@ -216,7 +228,9 @@
   /// Links that wait for the result of a command, by command id.
   std::map<std::string, std::set<LinkId>> Waiting;
   /// Snapshot that is sent to new subscribers.
-  std::shared_ptr<const std::vector<std::shared_ptr<const Bytes>>> Snapshot;
+  std::shared_ptr<SharedSnapshot> Snapshot;
+  /// Parts that may still be encoded in this tick.
+  std::size_t PartsLeft = 0;
   Revision SnapshotAt;
   TimePoint SnapshotMadeAt{};
   TimePoint LastTick{};
--- a/src/link/control_server.cpp
+++ b/src/link/control_server.cpp
@@ -489,7 +489,7 @@
 
 // Distribution ----------------------------------------------------------------
 
-/// Encodes a snapshot, or uses the last one if a delta leads on from it.
+/// Splits a snapshot, or uses the last one if a delta leads on from it.
 void prepareSnapshot(Context &C) {
   ServerState &S = C.S;
   const bool Usable = S.Snapshot && S.SnapshotAt >= S.Retained.Base &&
@@ -497,23 +497,36 @@
                       C.View.Now - S.SnapshotMadeAt < SnapshotReuse;
   if (Usable)
     return;
-  auto Parts = std::make_shared<std::vector<std::shared_ptr<const Bytes>>>();
-  for (control::SnapshotPart &Part : control::splitSnapshot(S.Current.Config))
-    Parts->push_back(encoded(Snapshot{std::move(Part)}));
-  S.Snapshot = std::move(Parts);
+  S.Snapshot = std::make_shared<SharedSnapshot>();
+  S.Snapshot->Parts = control::splitSnapshot(S.Current.Config);
+  S.Snapshot->Encoded.resize(S.Snapshot->Parts.size());
   S.SnapshotAt = S.Current.Config.InForce;
   S.SnapshotMadeAt = C.View.Now;
 }
 
+/// \returns the encoding of a part, or null when this tick's share is used up.
+std::shared_ptr<const Bytes> encodedPart(Context &C, SharedSnapshot &Of,
+                                         std::size_t Index) {
+  std::shared_ptr<const Bytes> &Part = Of.Encoded[Index];
+  if (!Part && C.S.PartsLeft > 0) {
+    --C.S.PartsLeft;
+    Part = encoded(Snapshot{std::exchange(Of.Parts[Index], {})});
+  }
+  return Part;
+}
+
 void sendParts(Context &C, LinkId Id, ServedLink &L) {
   std::size_t Queued = C.View.QueuedBytes(Id);
   const std::size_t Most = C.S.Options.Limits.SnapshotQueueBytes;
-  while (L.NextPart < L.Parts->size() && Queued < Most) {
-    const std::shared_ptr<const Bytes> &Part = (*L.Parts)[L.NextPart++];
+  while (L.NextPart < L.Parts->Encoded.size() && Queued < Most) {
+    const auto Part = encodedPart(C, *L.Parts, L.NextPart);
+    if (!Part)
+      return;
+    ++L.NextPart;
     Queued += Part->size();
     C.Out.emplace_back(SendToLink{Id, Part});
   }
-  if (L.NextPart < L.Parts->size())
+  if (L.NextPart < L.Parts->Encoded.size())
     return;
   L.Parts.reset();
   L.Sent = L.PartsAt;
@@ -549,6 +562,7 @@
 }
 
 void updateSubscribers(Context &C) {
+  C.S.PartsLeft = PartsPerTick;
   std::size_t Snapshots = 0;
   for (const auto &[Id, L] : C.S.Links)
     Snapshots += L.Parts ? 1 : 0;
