Listen for a successor again after a planned restart

Cause: the successor starts while its predecessor still holds the take-over port. It logged SocketFailed once and then never listened, so that the next planned restart of the same agent could not hand over and would have cut its lines.

Ruled out: closing the predecessor's port before the hand-over ends; a successor that fails half-way could then not be followed by another.

Conclusion: planned restarts can follow each other.

--- a/apps/jasminearch_agent.cpp
+++ b/apps/jasminearch_agent.cpp
@@ -26,6 +26,7 @@
 constexpr rlim_t OtherDescriptors = 64;
 constexpr std::chrono::milliseconds SupervisionInterval{50};
 constexpr std::chrono::seconds CountInterval{1};
+constexpr std::chrono::milliseconds ListenInterval{500};
 
 struct CommandLine {
   std::string Config;
@@ -119,6 +120,7 @@
   std::unique_ptr<TrafficLoop> Traffic;
   std::unique_ptr<link::ControlClient> Control;
   std::unique_ptr<TakeOverServer> Successor;
+  TimePoint NextListen{};
   std::thread TrafficThread;
 };
 
@@ -138,6 +140,21 @@
                                        D.Time, std::move(Handlers));
 }
 
+/// Listens for a successor, or tries again later: during a planned restart the
+/// predecessor holds the port until it has exited.
+void listenForSuccessor(Daemon &D) {
+  if (D.Successor || D.Time.now() < D.NextListen)
+    return;
+  const bool First = D.NextListen == TimePoint{};
+  D.NextListen = D.Time.now() + ListenInterval;
+  auto Listening =
+      serveTakeOver(D.Settings, [&D] { return D.Traffic->handOver().get(); });
+  if (Listening)
+    D.Successor = std::move(*Listening);
+  else if (First)
+    logError("take_over_unavailable", Listening.error());
+}
+
 /// Serves until a signal, a successor or the loss of the upstream ends it.
 int supervise(Daemon &D, const sigset_t &Signals) {
   const timespec Pause{0,
@@ -146,6 +163,7 @@
   bool Leaving = false;
   while (true) {
     const int Signal = sigtimedwait(&Signals, nullptr, &Pause);
+    listenForSuccessor(D);
     if (D.Successor && D.Successor->finished())
       return EXIT_SUCCESS;
     if (D.Time.now() >= NextCounts) {
@@ -179,12 +197,6 @@
   }
   D.TrafficThread = std::thread([&D] { D.Traffic->run(); });
   startControl(D);
-  auto Successor =
-      serveTakeOver(D.Settings, [&D] { return D.Traffic->handOver().get(); });
-  if (Successor)
-    D.Successor = std::move(*Successor);
-  else
-    logError("take_over_unavailable", Successor.error());
   const int Status = supervise(D, Signals);
   D.Successor.reset();
   D.Control.reset();
