Count new work at leaving upstreams in the demonstration

Cause: scripts/demo drained an upstream, but nothing compared the upstream's own records with the drain.

Ruled out: the agents' counts; a demonstration must not rest on the system's own word.

Change: upstreams record when work started and whether it belongs to an open line; the tally counts new work later than 3 s after a drain.

--- a/standins/jasminearch_upstream.cpp
+++ b/standins/jasminearch_upstream.cpp
@@ -63,6 +63,11 @@
   return State.Settings.ServiceTime * (Cold ? ColdFactor : 1);
 }
 
+std::string resourcePath(coap_resource_t *Resource) {
+  const coap_str_const_t *Path = coap_resource_get_uri_path(Resource);
+  return {reinterpret_cast<const char *>(Path->s), Path->length};
+}
+
 /// Records a request that names another service.
 void checkService(const coap_pdu_t *Request) {
   const std::string Wanted = queryValue(Request, "service");
@@ -73,9 +78,12 @@
                           {"upstream", State.Settings.Name}});
 }
 
-void recordRun(const std::string &Id) {
+/// \param OnLine whether the work belongs to a line that was open before.
+void recordRun(const std::string &Id, bool OnLine) {
   State.Records->write({{"kind", "run"},
                         {"id", Id},
+                        {"on_line", OnLine},
+                        {"at_ms", wallMillis()},
                         {"service", State.Settings.Service},
                         {"upstream", State.Settings.Name}});
 }
@@ -111,7 +119,7 @@
 
 /// Non-idempotent work: counted once when it starts, answered after the service
 /// time through libcoap's separate responses.
-void runWork(coap_resource_t *, coap_session_t *Session,
+void runWork(coap_resource_t *Resource, coap_session_t *Session,
              const coap_pdu_t *Request, const coap_string_t *,
              coap_pdu_t *Response) {
   const std::string Id = queryValue(Request, "id");
@@ -127,7 +135,7 @@
     coap_pdu_set_code(Response, COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE);
     return;
   }
-  recordRun(Id);
+  recordRun(Id, resourcePath(Resource).starts_with("line/"));
   if (coap_register_async(Session, Request, toTicks(serviceTime()))) {
     ++State.InService;
     return;
@@ -138,8 +146,7 @@
 
 void answerFeed(coap_resource_t *Resource, coap_session_t *, const coap_pdu_t *,
                 const coap_string_t *, coap_pdu_t *Response) {
-  const coap_str_const_t *Path = coap_resource_get_uri_path(Resource);
-  const std::string Line(reinterpret_cast<const char *>(Path->s), Path->length);
+  const std::string Line = resourcePath(Resource);
   coap_pdu_set_code(Response, COAP_RESPONSE_CODE_CONTENT);
   addText(Response, absl::StrCat(State.Settings.Service, "/", Line, "/",
                                  State.FeedCount));
@@ -159,7 +166,7 @@
   coap_resource_set_get_observable(Resource, 1);
   coap_add_resource(State.Context, Resource);
   State.Lines[Path] = Resource;
-  recordRun(queryValue(Request, "id"));
+  recordRun(queryValue(Request, "id"), false);
   coap_pdu_set_code(Response, COAP_RESPONSE_CODE_CREATED);
   for (const std::string &Segment : {std::string("line"), Number})
     coap_add_option(Response, COAP_OPTION_LOCATION_PATH, Segment.size(),
--- a/standins/lib/records.h
+++ b/standins/lib/records.h
@@ -1,6 +1,8 @@
 #ifndef STANDINS_LIB_RECORDS_H
 #define STANDINS_LIB_RECORDS_H
 
+#include <chrono>
+#include <cstdint>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -9,6 +11,14 @@
 /// daemons.
 namespace standins {
 
+/// \returns milliseconds of the wall clock, which all processes on a machine
+/// share.
+inline std::int64_t wallMillis() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+      .count();
+}
+
 /// Appends what a stand-in saw to a file, one JSON object a line. The tally
 /// program compares the records of callers and upstreams.
 class RecordWriter {
--- a/standins/lib/tally.cpp
+++ b/standins/lib/tally.cpp
@@ -21,6 +21,19 @@
   Sum.BrokenLines += Event == "broken" ? 1 : 0;
 }
 
+void addRun(Tally &Sum, const nlohmann::json &Record) {
+  ++Sum.RunsByAttempt[Record.at("id").get<std::string>()];
+  if (!Record.at("on_line").get<bool>())
+    Sum.NewWork[Record.at("upstream")].push_back(Record.at("at_ms"));
+}
+
+void endLeave(Tally &Sum, const nlohmann::json &Record) {
+  for (Leave &L : Sum.Leaves)
+    if (L.Upstream == Record.at("upstream").get<std::string>())
+      L.UntilMillis =
+          std::min(L.UntilMillis, Record.at("at_ms").get<std::int64_t>());
+}
+
 /// \returns the request's id without the number of the attempt.
 std::string requestOf(const std::string &Attempt) {
   return Attempt.substr(0, Attempt.rfind('.'));
@@ -37,7 +50,11 @@
   else if (Kind == "refused")
     Sum.RefusedAttempts.insert(Record.at("id").get<std::string>());
   else if (Kind == "run")
-    ++Sum.RunsByAttempt[Record.at("id").get<std::string>()];
+    addRun(Sum, Record);
+  else if (Kind == "leaving")
+    Sum.Leaves.push_back({Record.at("upstream"), Record.at("at_ms")});
+  else if (Kind == "returning")
+    endLeave(Sum, Record);
   else if (Kind == "misdelivered")
     ++Sum.Misdelivered;
   else if (Kind == "wrong_notification")
@@ -64,6 +81,20 @@
       [&](const std::string &Id) { return Sum.RunsByAttempt.contains(Id); }));
 }
 
+std::uint64_t workAfterLeaving(const Tally &Sum) {
+  std::int64_t Late = 0;
+  for (const Leave &L : Sum.Leaves) {
+    const auto Found = Sum.NewWork.find(L.Upstream);
+    if (Found == Sum.NewWork.end())
+      continue;
+    Late += std::count_if(
+        Found->second.begin(), Found->second.end(), [&L](std::int64_t At) {
+          return At > L.FromMillis + LeavingMillis && At < L.UntilMillis;
+        });
+  }
+  return static_cast<std::uint64_t>(Late);
+}
+
 nlohmann::ordered_json summary(const Tally &Sum) {
   nlohmann::ordered_json Out;
   Out["requests"] = Sum.Requests;
@@ -76,6 +107,7 @@
   Out["lines"] = Sum.Lines.size();
   Out["broken_lines_planned"] = Sum.BrokenLines;
   Out["wrong_answers"] = Sum.WrongAnswers;
+  Out["work_after_leaving"] = workAfterLeaving(Sum);
   if (Sum.InForceMeasured > 0)
     Out["config_in_force_ms_max"] = Sum.InForceMillisMax;
   else
@@ -87,7 +119,8 @@
   const bool Complete = Sum.Requests == Sum.Answered + Sum.NotRun + Sum.Unknown;
   return Complete && Sum.Answered > 0 && ranTwice(Sum) == 0 &&
          notRunButRan(Sum) == 0 && Sum.Misdelivered == 0 &&
-         Sum.BrokenLines == 0 && Sum.WrongAnswers == 0;
+         Sum.BrokenLines == 0 && Sum.WrongAnswers == 0 &&
+         workAfterLeaving(Sum) == 0;
 }
 
 } // namespace standins
--- a/standins/lib/tally.h
+++ b/standins/lib/tally.h
@@ -2,13 +2,26 @@
 #define STANDINS_LIB_TALLY_H
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace standins {
 
+/// Time within which a leaving upstream may still get new work.
+inline constexpr std::int64_t LeavingMillis = 3000;
+
+/// A drain that an operator ordered, from the answer to the drain command to
+/// the undrain command.
+struct Leave {
+  std::string Upstream;
+  std::int64_t FromMillis = 0;
+  std::int64_t UntilMillis = std::numeric_limits<std::int64_t>::max();
+};
+
 /// Sums over the records of callers and upstreams.
 struct Tally {
   std::uint64_t Requests = 0;
@@ -22,6 +35,9 @@
   std::set<std::string> RefusedAttempts;
   /// Runs at upstreams by attempt id.
   std::map<std::string, std::uint64_t> RunsByAttempt;
+  /// New work at each upstream, by time; work on open lines isn't new.
+  std::map<std::string, std::vector<std::int64_t>> NewWork;
+  std::vector<Leave> Leaves;
   std::uint64_t InForceMillisMax = 0;
   std::uint64_t InForceMeasured = 0;
 };
@@ -35,6 +51,9 @@
 /// \returns attempts that ran although the caller was told "not run".
 std::uint64_t notRunButRan(const Tally &Sum);
 
+/// \returns new work at upstreams that had been leaving for LeavingMillis.
+std::uint64_t workAfterLeaving(const Tally &Sum);
+
 /// \returns the sums as one object with the keys that scripts/demo promises.
 nlohmann::ordered_json summary(const Tally &Sum);
 
--- a/tests/standins_tally_test.cpp
+++ b/tests/standins_tally_test.cpp
@@ -11,7 +11,13 @@
       {"kind", "request"}, {"id", Id}, {"outcome", Outcome}, {"wrong", Wrong}};
 }
 
-json run(const char *Attempt) { return {{"kind", "run"}, {"id", Attempt}}; }
+json run(const char *Attempt, std::int64_t AtMillis = 0, bool OnLine = false) {
+  return {{"kind", "run"},
+          {"id", Attempt},
+          {"upstream", "u"},
+          {"at_ms", AtMillis},
+          {"on_line", OnLine}};
+}
 
 class TallyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TallyTest);
@@ -19,6 +25,7 @@
   CPPUNIT_TEST(seesASecondRunOnAnotherAttempt);
   CPPUNIT_TEST(seesARunOfARefusedAttempt);
   CPPUNIT_TEST(seesWrongAnswersMisdeliveryAndBrokenLines);
+  CPPUNIT_TEST(seesNewWorkAtALeavingUpstream);
   CPPUNIT_TEST_SUITE_END();
 
   Tally Sum;
@@ -51,6 +58,19 @@
     CPPUNIT_ASSERT(!holds(Sum));
   }
 
+  /// Guards against a drain that nobody checks: new work after 3 s counts, work
+  /// before that, on open lines or after the return does not.
+  void seesNewWorkAtALeavingUpstream() {
+    addRecord(Sum, {{"kind", "leaving"}, {"upstream", "u"}, {"at_ms", 1000}});
+    addRecord(Sum, {{"kind", "returning"}, {"upstream", "u"}, {"at_ms", 9000}});
+    addRecord(Sum, run("c-1.0", 3900));
+    addRecord(Sum, run("c-2.0", 5000, true));
+    addRecord(Sum, run("c-3.0", 9001));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, workAfterLeaving(Sum));
+    addRecord(Sum, run("c-4.0", 4001));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, workAfterLeaving(Sum));
+  }
+
   /// Guards against a demonstration that passes with a broken promise.
   void seesWrongAnswersMisdeliveryAndBrokenLines() {
     const json Faults[] = {request("c-1", "answered", true),
