Refuse in-force queries for the future and name misspelt keys first

Cause: reading the README as a new user. `jasminectl in-force 999` at revision 5 said nothing was missing and exited with 0, and a settings file with `nmae` complained about a missing `name`.

Ruled out: comparing with the configuration's revision alone; an accepted command that changes nothing has a later one.

Conclusion: both mistakes now get the error that names them.

--- a/include/jasminearch/detail/table_reader.h
+++ b/include/jasminearch/detail/table_reader.h
@@ -41,6 +41,8 @@
   Expected<void> finish();
 
 private:
+  /// Puts an unknown key, if there is one, in place of the first failure.
+  void refuseUnknownKeys();
   const toml::node *find(const std::string &Key);
   void refuse(ErrorCode Code, const std::string &Key, const toml::node *Where,
               const std::string &Found, const std::string &Allowed);
--- a/include/jasminearch/link/messages.h
+++ b/include/jasminearch/link/messages.h
@@ -172,7 +172,7 @@
   std::uint64_t Id = 0;
   /// Set on success.
   std::optional<nlohmann::json> Document;
-  /// Set otherwise: NotLeader or NoQuorum.
+  /// Set otherwise: NotLeader, NoQuorum, or RevisionFromFuture for InForce.
   std::optional<Error> Failure;
   std::optional<ControlHost> Leader;
 
--- a/src/link/control_server.cpp
+++ b/src/link/control_server.cpp
@@ -307,6 +307,25 @@
     C.Out.emplace_back(Propose{M.Value});
 }
 
+/// \returns the latest revision that an operator can have been told.
+Revision latestDecided(const control::State &Current) {
+  if (Current.ResultOrder.empty())
+    return Current.Config.InForce;
+  const auto Last = Current.Results.find(Current.ResultOrder.back());
+  return std::max(Current.Config.InForce, Last->second.At);
+}
+
+void answerQuery(const Context &C, const Query &M, QueryResult &Answer) {
+  const Revision Latest = latestDecided(C.S.Current);
+  if (M.Kind == QueryKind::InForce && M.At > Latest)
+    Answer.Failure = Error{ErrorCode::RevisionFromFuture,
+                           "revision " + std::to_string(M.At.Number) +
+                               " doesn't exist yet; the latest is " +
+                               std::to_string(Latest.Number)};
+  else
+    Answer.Document = answer(C.S, M, C.View);
+}
+
 void receive(Context &C, LinkId Id, ServedLink &L, const Query &M) {
   if (L.Sender != Role::Operator)
     return refuse(C, Id,
@@ -314,7 +333,7 @@
   QueryResult Answer;
   Answer.Id = M.Id;
   if (C.View.LeaseHeld && C.S.Leading) {
-    Answer.Document = answer(C.S, M, C.View);
+    answerQuery(C, M, Answer);
   } else {
     Answer.Failure = notLeading(C);
     Answer.Leader = leaderHost(C);
--- a/src/table_reader.cpp
+++ b/src/table_reader.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <sstream>
+#include <utility>
 
 namespace jasminearch::detail {
 
@@ -132,15 +133,24 @@
 }
 
 Expected<void> TableReader::finish() {
+  // A missing key is most often a misspelt one, which is the better hint.
+  if (!First || First->Code == ErrorCode::SettingsMissingKey)
+    refuseUnknownKeys();
+  if (First)
+    return tl::unexpected<Error>(*First);
+  return {};
+}
+
+void TableReader::refuseUnknownKeys() {
+  const std::optional<Error> Before = std::exchange(First, std::nullopt);
   for (const auto &[Key, Node] : Source) {
     const std::string Name(Key.str());
     if (!Read.contains(Name))
       refuse(ErrorCode::SettingsUnknownKey, Name, &Node, "an unknown key",
              absl::StrJoin(Read, ", "));
   }
-  if (First)
-    return tl::unexpected<Error>(*First);
-  return {};
+  if (!First)
+    First = Before;
 }
 
 } // namespace jasminearch::detail
--- a/tests/link_server_test.cpp
+++ b/tests/link_server_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(readsNeedTheLease);
   CPPUNIT_TEST(refusesCommandsThatAreNotOperators);
   CPPUNIT_TEST(tellsWhereARevisionIsInForce);
+  CPPUNIT_TEST(refusesToTellOfARevisionFromTheFuture);
   CPPUNIT_TEST_SUITE_END();
 
   static void assertRefused(const FakeOperator &Op, ErrorCode Code) {
@@ -327,6 +328,19 @@
     CPPUNIT_ASSERT(!Some["everywhere"].get<bool>());
     CPPUNIT_ASSERT(Some["silent"] == nlohmann::json::array({"e2"}));
   }
+
+  /// Guards against "in force everywhere" for a revision that was never
+  /// accepted, as when no daemon is registered.
+  void refusesToTellOfARevisionFromTheFuture() {
+    FakeCluster C;
+    C.run(milliseconds(100));
+    FakeOperator Op;
+    C.open(Op, 0);
+    C.send(Op, Query{1, QueryKind::InForce, Revision{999}});
+    const QueryResult Told = *Op.last<QueryResult>();
+    CPPUNIT_ASSERT(!Told.Document && Told.Failure);
+    CPPUNIT_ASSERT(ErrorCode::RevisionFromFuture == Told.Failure->Code);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlServerTest);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -69,6 +69,10 @@
     CPPUNIT_ASSERT(ErrorCode::SettingsUnknownKey == Unknown.error().Code);
     CPPUNIT_ASSERT(Unknown.error().Detail.find(":6: key \"colour\"") !=
                    std::string::npos);
+    const auto Misspelt = load("nmae" + Common.substr(Common.find(" = \"a\"")) +
+                               "cluster = \"c\"\n" + Folder + Hosts);
+    CPPUNIT_ASSERT(!Misspelt);
+    CPPUNIT_ASSERT(ErrorCode::SettingsUnknownKey == Misspelt.error().Code);
     CPPUNIT_ASSERT(ErrorCode::SettingsUnreadable ==
                    loadControlSettings("/nonexistent/x").error().Code);
   }
