Cover pairs of faults and lost acknowledgements in the fault matrix

The matrix covered single faults and one kind of caller, which acknowledges every repeated response. Two faults at two steps, and a caller that like libcoap 4.3.1 drops a repeated message id without an acknowledgement, were not covered.

For two faults to be possible at all, the simulated world has three entry hosts, moves the table to live agents only, gives each restart its own permit key, and kills only a sibling that does not hold the session.

--- a/tests/agent_world.cpp
+++ b/tests/agent_world.cpp
@@ -1,4 +1,5 @@
 #include "agent_world.h"
+#include <algorithm>
 
 namespace jasminearch::agent::test {
 
@@ -42,8 +43,12 @@
 
 void FakeUpstream::sendReliably(std::uint16_t Port, const CoapMessage &Message,
                                 int Left) {
-  if (Acked[Message.MessageId] || Left < 0)
+  if (Acked[Message.MessageId])
     return;
+  if (Left < 0) {
+    ++GivenUp;
+    return;
+  }
   Owner->fromUpstream(Node, Port, buildCoap(Message).value());
   const auto Again = std::make_shared<Bytes>(buildCoap(Message).value());
   Owner->after(2s, [this, Port, Again, Left] {
@@ -222,6 +227,12 @@
     }
     return;
   }
+  if (Confirmable) {
+    const bool Repeats = LastConfirmable == In.MessageId;
+    LastConfirmable = In.MessageId;
+    if (Repeats && Behaviour == CallerKind::DropsRepeats)
+      return;
+  }
   if (Confirmable)
     Owner->fromCaller(wire::buildEmpty(
         ByToken || OfFeed ? CoapType::Acknowledgement : CoapType::Reset,
@@ -290,7 +301,7 @@
   Treatment.Name = "p";
   Config.Profiles["p"] = Treatment;
   Config.Services[{1}] = {{1}, "order", ServiceAt, "p", {}};
-  for (std::size_t At = 0; At < 2; ++At) {
+  for (std::size_t At = 0; At < EntryCount; ++At) {
     const std::string Name = "entry" + std::to_string(At);
     Config.Entries[Name] = {Name, "dc1", entryAt(At), true, {}};
   }
@@ -373,9 +384,10 @@
           event(At, FrameReceived{agentAt(From), What.Datagram});
     });
   }
+  Answering.insert(From);
   const Bytes Payload(Frame.Payload.begin(), Frame.Payload.end());
   note("agent " + std::to_string(From + 1) + " > caller: " + describe(Payload));
-  for (std::size_t At = 0; At < 2; ++At)
+  for (std::size_t At = 0; At < EntryCount; ++At)
     if (entryAt(At) == What.To && !DeadEntries.contains(At))
       transit([this, Payload] { Caller.receive(Payload); });
 }
@@ -405,36 +417,46 @@
 }
 
 void World::transit(std::function<void()> Deliver) {
-  const bool Struck = Chosen != Fault::None && Steps++ == FaultStep;
-  if (Chosen == Fault::None)
-    ++Steps;
-  if (!Struck)
+  const std::size_t Step = Steps++;
+  const auto Found =
+      std::find_if(Strikes.begin(), Strikes.end(), [Step](const Strike &Each) {
+        return Each.Which != Fault::None && Each.Step == Step;
+      });
+  if (Found == Strikes.end())
     return after(2 * Hop, std::move(Deliver));
-  if (Chosen == Fault::Loss)
+  const Fault Which = Found->Which;
+  ++Struck;
+  if (Which == Fault::Loss)
     return;
-  if (Chosen == Fault::Delay)
+  if (Which == Fault::Delay)
     return after(3s, std::move(Deliver));
-  if (Chosen == Fault::Reorder)
+  if (Which == Fault::Reorder)
     return after(30ms, std::move(Deliver));
   after(2 * Hop, Deliver);
-  if (Chosen == Fault::Duplicate)
+  if (Which == Fault::Duplicate)
     return after(4 * Hop, std::move(Deliver));
-  if (Chosen == Fault::LateDuplicate || Chosen == Fault::DrainAndBack ||
-      Chosen == Fault::MoveWithLateDuplicate)
+  if (Which == Fault::LateDuplicate || Which == Fault::DrainAndBack ||
+      Which == Fault::MoveWithLateDuplicate)
     after(40s, std::move(Deliver));
-  strike();
+  strike(Which);
 }
 
 void World::moveTable() {
+  std::size_t Next = (Owner + 1) % Agents.size();
+  while (!Agents[Next].Alive)
+    Next = (Next + 1) % Agents.size();
+  if (Next == Owner)
+    return;
   Earlier.insert(Earlier.begin(), upstreamId(Owner));
   Earlier.resize(std::min<std::size_t>(Earlier.size(), 2));
-  Owner = (Owner + 1) % Agents.size();
+  Owner = Next;
   configure();
 }
 
 void World::restart(std::size_t At, bool WithRecords) {
   Node &Of = Agents[At];
-  auto Next = std::make_unique<State>(Of.S->Options, PermitKey{7}, Now);
+  const PermitKey Key{6, ++Restarts};
+  auto Next = std::make_unique<State>(Of.S->Options, Key, Now);
   if (WithRecords) {
     HandoverProgress Progress;
     for (const Bytes &Part : encodeHandover(*Of.S, Now))
@@ -457,8 +479,19 @@
   });
 }
 
-void World::strike() {
-  switch (Chosen) {
+void World::killSibling() {
+  // The loss of an agent that holds the session allows more than the loss of a
+  // sibling, so such an agent is never the victim.
+  for (std::size_t Offset = 1; Offset < Agents.size(); ++Offset) {
+    const std::size_t At = (Owner + Offset) % Agents.size();
+    if (Agents[At].Alive && !Answering.contains(At) &&
+        Agents[At].S->Flows.ById.empty())
+      return kill(At);
+  }
+}
+
+void World::strike(Fault Which) {
+  switch (Which) {
   case Fault::RestartWithRecords:
     return restart(Owner, true);
   case Fault::RestartWithout:
@@ -481,12 +514,11 @@
       configure();
     });
   case Fault::SiblingKill:
-    return kill((Owner + 1) % Agents.size());
+    return killSibling();
   case Fault::EntryKill:
     DeadEntries.insert(Entry);
-    Entry = 1 - Entry;
-    return after(1s, [this] {
-      Config.Entries["entry0"].Alive = false;
+    return after(1s, [this, Name = "entry" + std::to_string(Entry++)] {
+      Config.Entries[Name].Alive = false;
       configure();
     });
   case Fault::Deadline:
@@ -520,9 +552,8 @@
   Now = std::max(Now, End);
 }
 
-void World::play(SessionKind Kind, Fault Which, std::size_t Step) {
-  Chosen = Which;
-  FaultStep = Step;
+void World::play(SessionKind Kind, std::vector<Strike> At) {
+  Strikes = std::move(At);
   Caller.Kind = Kind;
   Caller.Id = "r0000001";
   for (Node &Each : Agents)
@@ -532,7 +563,11 @@
   // feed that stays silent.
   if (Kind == SessionKind::Feed)
     after(60s, [this] { Caller.end(Result::Unknown); });
-  run(Which == Fault::ClockJump ? 120s + ClockJumpSize : 120s);
+  Duration Length = 120s;
+  for (const Strike &Each : Strikes)
+    if (Each.Which == Fault::ClockJump)
+      Length += ClockJumpSize;
+  run(Length);
 }
 
 } // namespace jasminearch::agent::test
--- a/tests/agent_world.h
+++ b/tests/agent_world.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,10 @@
 using wire::CoapType;
 
 enum class SessionKind { Get, BlockGet, Post, SeparatePost, BlockPost, Feed };
+/// How a caller treats a confirmable response with the message id of the last
+/// one it received: it acknowledges it again, or, like libcoap 4.3.1, drops it
+/// without an acknowledgement.
+enum class CallerKind { AcknowledgesRepeats, DropsRepeats };
 enum class Result { Open, Answered, NotRun, Unknown };
 
 /// What happens to one datagram between caller and agents, or at its time.
@@ -44,6 +49,12 @@
   ClockJump,
 };
 
+/// A fault and the datagram, counted from 0, that it strikes at.
+struct Strike {
+  Fault Which = Fault::None;
+  std::size_t Step = 0;
+};
+
 inline absl::Span<const std::uint8_t> bytesOf(std::string_view Text) {
   return {reinterpret_cast<const std::uint8_t *>(Text.data()), Text.size()};
 }
@@ -63,6 +74,8 @@
   return {static_cast<std::uint32_t>(Which + 1)};
 }
 
+/// One entry host remains after a pair of faults has killed two.
+constexpr std::size_t EntryCount = 3;
 constexpr std::uint16_t FirstNotificationId = 500;
 constexpr int FeedLength = 4;
 constexpr std::uint32_t SheetBlocks = 3;
@@ -78,6 +91,8 @@
   std::map<std::uint16_t, bool> Observed;
   std::uint16_t NextId = FirstNotificationId;
   Duration StallFor{};
+  /// Confirmable messages that were never acknowledged.
+  int GivenUp = 0;
   bool Separate = false;
 
   void receive(std::uint16_t Port, const Bytes &Datagram);
@@ -98,6 +113,8 @@
 struct FakeCaller {
   World *Owner = nullptr;
   SessionKind Kind = SessionKind::Get;
+  CallerKind Behaviour = CallerKind::AcknowledgesRepeats;
+  std::optional<std::uint16_t> LastConfirmable;
   std::string Id;
   Result Outcome = Result::Open;
   bool Wrong = false;
@@ -140,8 +157,12 @@
   std::set<std::size_t> DeadEntries;
   FakeCaller Caller;
   std::map<std::string, int> Runs;
-  Fault Chosen = Fault::None;
-  std::size_t FaultStep = 0;
+  std::vector<Strike> Strikes;
+  /// How many of the strikes were reached.
+  std::size_t Struck = 0;
+  /// Agents that have answered the caller and may have issued its permit.
+  std::set<std::size_t> Answering;
+  std::uint8_t Restarts = 0;
   std::size_t Steps = 0;
   std::uint64_t RevisionNumber = 100;
   std::uint16_t LastPort = 20000;
@@ -160,7 +181,11 @@
   void moveTable();
   void restart(std::size_t At, bool WithRecords);
   void kill(std::size_t At);
-  void play(SessionKind Kind, Fault Which, std::size_t Step);
+  void play(SessionKind Kind, Fault Which, std::size_t Step) {
+    play(Kind, std::vector<Strike>{{Which, Step}});
+  }
+  /// Plays one session; the strikes must be at different steps.
+  void play(SessionKind Kind, std::vector<Strike> At);
   /// \returns the datagram as the entry host would send it to \p At.
   Bytes forwardFrame(std::size_t At, const Bytes &Datagram) const;
 
@@ -171,7 +196,8 @@
   void carryOut(std::size_t At, const Effects &Todo);
   void sendFrame(std::size_t From, const SendFrame &What);
   void transit(std::function<void()> Deliver);
-  void strike();
+  void strike(Fault Which);
+  void killSibling();
   void note(const std::string &Line) const {
     if (Trace)
       Trace(Line);
