Tell the prober when an upload block is held

The new owner probed the earlier one for blocks 1 and 2. The earlier owner delivered them, because it finds its uploads by caller and operation before it looks at the kind of the frame, but sent no Held frame. The prober then timed out and answered 4.08. Without the delay the right answer is there first, so single faults did not show it.

Blocks that arrive in a probe now go through handleMidFlow, which sends Held and then delivers them in the same way.

--- a/src/agent/permit_side.cpp
+++ b/src/agent/permit_side.cpp
@@ -219,9 +219,12 @@
   }
   if (Record == nullptr)
     Record = findUpload(In.S.Records, What.Header.Caller, Key);
-  if (Record != nullptr)
+  // A prober that gets no Held frame answers 4.08 although the block has been
+  // delivered, so handleMidFlow takes the blocks that arrive in a probe.
+  const bool Probed = !Under && What.Header.Kind == wire::FrameKind::Probe;
+  if (Record != nullptr && !Probed)
     return deliverUploadBlock(In, What, *Record);
-  if (Under || What.Owned)
+  if (Record == nullptr && (Under || What.Owned))
     return answerIncomplete(In, What);
   handleMidFlow(In, What);
 }
