Start processes only on a configuration that is up to date

A second way to the same result: between two leaders, a host that shows a recent quorum served newly started processes although it lacked entries that the former leader had committed.

Ruled out by reading the code, without a test: a control host that restarted and replays its log has no quorum age before it has exchanged messages with the leader, and names that leader from then on. An old quorum age in Welcome is counted from when Hello was sent.

Change: a control host serves a newly started process only while it holds the lease, and the process checks Welcome::Leading. A heartbeat follows Welcome at once and tells the host's revision. The message format is unchanged. Daemons that have a configuration keep it and are served as before.

Conclusion: both ways are reproduced and closed in the decision functions; not yet confirmed in a trial with real processes.

--- a/include/jasminearch/link/control_client_logic.h
+++ b/include/jasminearch/link/control_client_logic.h
@@ -119,6 +119,12 @@
   bool Committed = false;
   Bytes Nonce;
   control::Receiver Config;
+  /// Whether Config is in force. A newly started process collects it first
+  /// until it has reached ToldRevision.
+  bool Running = false;
+  /// Newest revision that the present control host told; null before its first
+  /// heartbeat.
+  std::optional<Revision> ToldRevision;
   std::vector<control::PromiseCount> Counts;
 };
 
--- a/src/link/control_client_logic.cpp
+++ b/src/link/control_client_logic.cpp
@@ -39,6 +39,11 @@
                     Options.Announcement);
 }
 
+/// \returns the revision in force, zero if there is none.
+Revision inForce(const ClientState &S) {
+  return S.Running ? control::inForce(S.Config) : Revision{};
+}
+
 void send(ClientState &S, Effects &Out, Message Value, TimePoint Now) {
   S.LastSent = Now;
   Out.emplace_back(SendMessage{std::move(Value)});
@@ -57,6 +62,9 @@
   if (S.Now != Phase::Idle)
     Out.emplace_back(HangUp{});
   control::dropUnfinished(S.Config);
+  if (!S.Running)
+    S.Config = {};
+  S.ToldRevision.reset();
   S.Now = Phase::Idle;
   S.Committed = false;
   S.NextDial = Now + Wait;
@@ -106,7 +114,7 @@
           ? Role::Entry
           : Role::Agent;
   Claim.RunId = S.RunId;
-  Claim.InForce = control::inForce(S.Config);
+  Claim.InForce = inForce(S);
   Claim.Nonce = S.Nonce = freshNonce();
   Claim.Proof = helloProof(S.Options.LinkKey, M.Nonce, Claim);
   S.Now = Phase::Proving;
@@ -124,6 +132,15 @@
   }
   if (!M.Leading && M.Leader)
     return redirect(S, Out, M.Leader->Address, Now);
+  // Without the lease, the host may lack entries that a former leader
+  // committed, even if its quorum is recent.
+  if (!M.Leading && !S.Running) {
+    Out.emplace_back(ClientTrouble{
+        {ErrorCode::NoQuorum,
+         M.Host + " doesn't hold the lease, which a newly started process "
+                  "requires"}});
+    return failed(S, Out, Now);
+  }
   S.Now = Phase::Subscribed;
   S.SubscribedAt = Now;
   // The age holds from when Hello was sent: Welcome may have been on its way
@@ -132,6 +149,24 @@
   sendAnnouncement(S, Out, Now);
 }
 
+std::chrono::milliseconds quorumAge(const ClientState &S, TimePoint Now) {
+  return S.QuorumAge + std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Now - S.QuorumToldAt);
+}
+
+/// Puts the first configuration in force once it is as recent as what the host
+/// told: a snapshot is shared between subscribers and may be older than what
+/// all others have accepted by now. The delta that follows it closes the gap.
+void putInForce(ClientState &S, Effects &Out, TimePoint Now) {
+  if (S.Running || !S.Config.InForce || !S.ToldRevision ||
+      control::inForce(S.Config) < *S.ToldRevision ||
+      quorumAge(S, Now) > control::FreshQuorumLimit)
+    return;
+  S.Running = true;
+  Out.emplace_back(ConfigurationChanged{S.Config.InForce});
+  send(S, Out, Applied{inForce(S)}, Now);
+}
+
 /// Each heartbeat answers one of the control host, so that both sides see
 /// silence begin at the same time, and the daemon's new link is there before
 /// its lease ends.
@@ -140,12 +175,9 @@
     return failed(S, Out, Now);
   S.QuorumAge = M.QuorumAge;
   S.QuorumToldAt = Now;
-  send(S, Out, Heartbeat{control::inForce(S.Config), {}}, Now);
-}
-
-std::chrono::milliseconds quorumAge(const ClientState &S, TimePoint Now) {
-  return S.QuorumAge + std::chrono::duration_cast<std::chrono::milliseconds>(
-                           Now - S.QuorumToldAt);
+  S.ToldRevision = std::max(S.ToldRevision, std::optional(M.InForce));
+  putInForce(S, Out, Now);
+  send(S, Out, Heartbeat{inForce(S), {}}, Now);
 }
 
 /// Acts on what the receiver made of a snapshot part or a delta.
@@ -157,8 +189,10 @@
   }
   if (!*Changed)
     return;
+  if (!S.Running)
+    return putInForce(S, Out, Now);
   Out.emplace_back(ConfigurationChanged{S.Config.InForce});
-  send(S, Out, Applied{control::inForce(S.Config)}, Now);
+  send(S, Out, Applied{inForce(S)}, Now);
 }
 
 void receive(ClientState &S, Effects &Out, Snapshot &M, TimePoint Now) {
@@ -239,7 +273,7 @@
   if (!S.Committed && Now - S.AnnouncedAt >= AnnounceRetry)
     sendAnnouncement(S, Out, Now);
   if (Now - S.LastSent >= 2 * HeartbeatInterval)
-    send(S, Out, Heartbeat{control::inForce(S.Config), {}}, Now);
+    send(S, Out, Heartbeat{inForce(S), {}}, Now);
   if (!S.Committed || Now < S.NextReport)
     return;
   S.NextReport = Now + ReportInterval;
--- a/src/link/control_server.cpp
+++ b/src/link/control_server.cpp
@@ -73,6 +73,10 @@
   C.Out.emplace_back(Propose{{std::string{}, std::move(Body)}});
 }
 
+bool isDaemon(const ServedLink &L) {
+  return L.Sender == Role::Entry || L.Sender == Role::Agent;
+}
+
 // Handshake -------------------------------------------------------------------
 
 bool knowsPeer(const Context &C, const std::string &Name) {
@@ -96,10 +100,11 @@
                     " characters");
   const bool Fresh = M.InForce.Number == 0 && M.Sender != Role::Operator &&
                      M.Sender != Role::Control;
-  if (Fresh && quorumAge(C.View) > control::FreshQuorumLimit &&
-      !leadsElsewhere(C))
+  // A recent quorum isn't enough: between two leaders, a host may show one
+  // and still lack entries that the former leader committed.
+  if (Fresh && !C.View.LeaseHeld && !leadsElsewhere(C))
     return fail(ErrorCode::NoQuorum,
-                "this host has no recent quorum, so that it can't serve a "
+                "this host doesn't hold the lease, so that it can't serve a "
                 "newly started process");
   return {};
 }
@@ -121,14 +126,13 @@
   Answer.Leader = leaderHost(C);
   Answer.QuorumAge = quorumAge(C.View);
   send(C, Id, Answer);
+  // Tells a newly started process which revision it must reach.
+  if (isDaemon(L))
+    send(C, Id, Heartbeat{C.S.Current.Config.InForce, quorumAge(C.View)});
 }
 
 // Daemons ---------------------------------------------------------------------
 
-bool isDaemon(const ServedLink &L) {
-  return L.Sender == Role::Entry || L.Sender == Role::Agent;
-}
-
 void noteDaemon(Context &C, const ServedLink &L, Revision InForce) {
   DaemonSeen &Seen = C.S.Daemons[L.Name];
   Seen.InForce = std::max(Seen.InForce, InForce);
@@ -489,10 +493,12 @@
 
 // Distribution ----------------------------------------------------------------
 
-/// Splits a snapshot, or uses the last one if a delta leads on from it.
-void prepareSnapshot(Context &C) {
+/// Splits a snapshot, or uses the last one if a delta leads on from it and it
+/// is newer than what the subscriber has.
+void prepareSnapshot(Context &C, Revision Sent) {
   ServerState &S = C.S;
   const bool Usable = S.Snapshot && S.SnapshotAt >= S.Retained.Base &&
+                      S.SnapshotAt > Sent &&
                       S.SnapshotAt <= S.Current.Config.InForce &&
                       C.View.Now - S.SnapshotMadeAt < SnapshotReuse;
   if (Usable)
@@ -553,7 +559,7 @@
   }
   if (Snapshots >= C.S.Options.Limits.Snapshots)
     return;
-  prepareSnapshot(C);
+  prepareSnapshot(C, L.Sent);
   ++Snapshots;
   L.Parts = C.S.Snapshot;
   L.PartsAt = C.S.SnapshotAt;
--- /dev/null
+++ b/tests/link_freshness_test.cpp
@@ -0,0 +1,122 @@
+#include "link_cluster.h"
+
+using namespace jasminearch;
+using namespace jasminearch::link;
+using namespace jasminearch::link::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+class FreshnessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FreshnessTest);
+  CPPUNIT_TEST(cachedSnapshotIsNotPutInForceAlone);
+  CPPUNIT_TEST(hostThatLagsServesNoNewlyStartedProcess);
+  CPPUNIT_TEST(hostWithoutLeaseServesRunningDaemons);
+  CPPUNIT_TEST(heartbeatsRaiseTheFirstRevision);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Commits \p Count changes through host 0.
+  static void change(FakeCluster &C, int Count) {
+    FakeOperator Op;
+    C.open(Op, 0);
+    for (int I = 0; I < Count; ++I) {
+      control::Profile P;
+      P.Name = "p" + std::to_string(C.At);
+      C.send(Op, CommandRequest{{P.Name, control::PutProfile{P, {}}}});
+    }
+    C.event(0, LinkEnded{Op.Link});
+  }
+
+  /// Guards against a snapshot encoded for an earlier subscriber that a newly
+  /// started process puts in force before the delta that belongs to it.
+  void cachedSnapshotIsNotPutInForceAlone() {
+    FakeCluster C;
+    change(C, 2);
+    C.addEntry("e1");
+    C.run(seconds(1));
+    change(C, 9);
+    const std::uint64_t Accepted = C.At;
+    C.run(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(Accepted, C.Daemons.at("e1").Revisions.back());
+    FakeDaemon &D = C.addEntry("e2", 2);
+    C.run(seconds(1));
+    CPPUNIT_ASSERT(!D.Revisions.empty());
+    CPPUNIT_ASSERT(D.Revisions.front() >= Accepted);
+    CPPUNIT_ASSERT_EQUAL(C.At, D.Revisions.back());
+    CPPUNIT_ASSERT(D.Troubles.empty());
+  }
+
+  /// Guards against a host with a recent quorum, but without the entries that
+  /// the former leader committed, that serves a newly started process between
+  /// two leaders.
+  void hostThatLagsServesNoNewlyStartedProcess() {
+    FakeCluster C;
+    change(C, 3);
+    C.Partitioned = {1};
+    change(C, 9);
+    const std::uint64_t Accepted = C.At;
+    C.Partitioned.clear();
+    C.elect(-1);
+    FakeDaemon &D = C.addEntry("e1");
+    D.State.Options.ControlHosts = {FakeCluster::address(1)};
+    D.State.Host = 0;
+    C.run(seconds(3));
+    CPPUNIT_ASSERT(D.Revisions.empty());
+    CPPUNIT_ASSERT(D.Dials > 1);
+    C.elect(0);
+    C.run(seconds(3));
+    CPPUNIT_ASSERT(!D.Revisions.empty());
+    CPPUNIT_ASSERT(D.Revisions.front() >= Accepted);
+  }
+
+  /// Guards against a freshness check that cuts off daemons which already have
+  /// a configuration.
+  void hostWithoutLeaseServesRunningDaemons() {
+    FakeCluster C;
+    change(C, 3);
+    FakeDaemon &D = C.addEntry("e1");
+    C.run(seconds(1));
+    const auto Before = D.Revisions;
+    CPPUNIT_ASSERT(!Before.empty());
+    C.elect(-1);
+    D.Silent = true;
+    C.run(seconds(3));
+    CPPUNIT_ASSERT(!D.Silent);
+    CPPUNIT_ASSERT(D.State.Now == ClientState::Phase::Subscribed);
+    CPPUNIT_ASSERT(D.Revisions == Before);
+    CPPUNIT_ASSERT(D.State.Config.InForce != nullptr);
+  }
+
+  /// Guards against a snapshot that took long to arrive and is older than what
+  /// the host told meanwhile.
+  void heartbeatsRaiseTheFirstRevision() {
+    FakeCluster C;
+    C.HoldCommits = true;
+    FakeDaemon &D = C.addEntry("e1");
+    C.run(milliseconds(100));
+    CPPUNIT_ASSERT(D.State.Now == ClientState::Phase::Subscribed);
+    const auto Tell = [&](const Message &M) {
+      C.event(D, ClientReceived{D.State.Attempt, encodeMessage(M)});
+    };
+    Tell(Heartbeat{{12}, {}});
+    Snapshot Old;
+    Old.Value.Part.InForce = {3};
+    Old.Value.Last = true;
+    Tell(Old);
+    CPPUNIT_ASSERT(D.Revisions.empty());
+    Delta Rest;
+    Rest.Value.From = {3};
+    Rest.Value.Changed.InForce = {12};
+    Tell(Rest);
+    CPPUNIT_ASSERT(D.Revisions == std::vector<std::uint64_t>{12});
+    Rest.Value.From = {12};
+    Rest.Value.Changed.InForce = {13};
+    Tell(Rest);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(13), D.Revisions.back());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FreshnessTest);
+
+} // namespace
