Report outcomes within a second to a control host that is new

Cause: after the kill of a leader, `outcomes` said "can't tell" for up to 11 hosts for as long as 10 s, since a new leader knows no counts until the next report.

Ruled out: copying counts between control hosts.

Change: a daemon sends its first report within 1 s of its announcement; the socket test of the agent names the one entry host that it has instead of relying on a hash of two.

--- a/include/jasminearch/link/control_client_logic.h
+++ b/include/jasminearch/link/control_client_logic.h
@@ -30,6 +30,9 @@
 
 inline constexpr std::chrono::seconds ReportInterval{10};
 
+/// Time within which a daemon reports to a control host that is new to it.
+inline constexpr std::chrono::seconds FirstReportLimit{1};
+
 /// Delay before an attempt after a failure: doubles from the first to the
 /// longest, of which a random half to whole is waited.
 inline constexpr std::chrono::milliseconds FirstBackOff{100};
--- a/src/link/control_client_logic.cpp
+++ b/src/link/control_client_logic.cpp
@@ -206,7 +206,10 @@
   taken(S, Out, control::takeDelta(S.Config, M.Value, quorumAge(S, Now)), Now);
 }
 
-void receive(ClientState &S, Effects &Out, const Announced &M, TimePoint) {
+void receive(ClientState &S, Effects &Out, const Announced &M, TimePoint Now) {
+  // A new leader knows no counts, and until it does it says "can't tell".
+  if (!S.Committed)
+    S.NextReport = std::min(S.NextReport, Now + jittered(S, FirstReportLimit));
   S.Committed = true;
   S.Failures = 0;
   S.Redirects = 0;
--- a/tests/agent_traffic_loop_test.cpp
+++ b/tests/agent_traffic_loop_test.cpp
@@ -117,7 +117,9 @@
     const Peer Entry;
     const Peer Upstream;
     const Endpoint Tunnel = freeEndpoint();
-    W.Config.Entries["entry0"].Tunnel = Entry.at();
+    // The frames name a return address that is none of the entry hosts, so that
+    // responses go to the only one there is.
+    W.Config.Entries = {{"entry0", {"entry0", "dc1", Entry.at(), true, {}}}};
     const auto Config =
         std::make_shared<const control::Configuration>(W.Config);
     Running First(freshState(), Tunnel, Upstream.at());
