--- a/tests/link_client_test.cpp
+++ b/tests/link_client_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(replacesASilentLinkWithinItsLease);
   CPPUNIT_TEST(lostDaemonIsRetiredAndComesBack);
   CPPUNIT_TEST(newLeaderGrantsAFullLease);
+  CPPUNIT_TEST(newLeaderLearnsCountsSoon);
   CPPUNIT_TEST(stoppedLeaderRetiresNobodyOnResumption);
   CPPUNIT_TEST(renewalAfterANewLeaderCommitsNothing);
   CPPUNIT_TEST(leavingRetiresAtOnce);
@@ -139,6 +140,20 @@
     CPPUNIT_ASSERT_EQUAL(1, C.Daemons.at("e1").Host);
   }
 
+  /// Guards against a new leader that says "can't tell" until the next regular
+  /// report, 10 s later.
+  void newLeaderLearnsCountsSoon() {
+    FakeCluster C;
+    C.addEntry("e1");
+    for (int Step = 0; Step < 200 && !C.host(0).Book.Hosts.contains("e1");
+         ++Step)
+      C.run(milliseconds(100));
+    CPPUNIT_ASSERT(C.host(0).Book.Hosts.contains("e1"));
+    C.elect(1);
+    C.run(seconds(3));
+    CPPUNIT_ASSERT(C.host(1).Book.Hosts.contains("e1"));
+  }
+
   /// Guards against a leader that was paused and finds all leases ended.
   void stoppedLeaderRetiresNobodyOnResumption() {
     FakeCluster C;
