--- a/include/jasminearch/clock.h
+++ b/include/jasminearch/clock.h
@@ -24,6 +24,14 @@
   WallTime wallTime() const override;
 };
 
+/// Clocks of the operating system that also count the time for which the host
+/// was suspended, so that leases end on a host that slept.
+class BootClock final : public Clock {
+public:
+  TimePoint now() const override;
+  WallTime wallTime() const override;
+};
+
 /// A clock that moves only when told to, for tests and golden files.
 class ManualClock final : public Clock {
 public:
--- a/include/jasminearch/consensus/node.h
+++ b/include/jasminearch/consensus/node.h
@@ -45,6 +45,18 @@
 /// Time between JoinRequests of a host that is not a member.
 constexpr Duration JoinInterval = std::chrono::milliseconds(400);
 
+/// With open membership: silence after which a member may be replaced. Longer
+/// than an election and a restart, shorter than the time after which the users
+/// count a replaced host's successor as repaired (4 s).
+constexpr Duration ReplaceAfter = std::chrono::milliseconds(2000);
+
+/// With open membership: silence after which a surplus learner is removed.
+constexpr Duration ForgetLearnerAfter = std::chrono::seconds(10);
+
+/// A member without news of a leader for this long asks to join again: it may
+/// have been removed while it was cut off.
+constexpr Duration RejoinAfter = std::chrono::milliseconds(1500);
+
 /// Largest sum of entry payloads in one AppendRequest, unless one entry alone
 /// is larger; and most entries.
 constexpr std::size_t MaxBatchBytes = 256U << 10U;
@@ -63,8 +75,12 @@
 struct NodeOptions {
   std::string Host;
   std::string StorageId;
-  /// Names of all control hosts, this one included.
+  /// Names of all control hosts, this one included. With open membership only
+  /// those that are asked to admit this one.
   std::vector<std::string> Hosts;
+  /// Voters that open membership keeps. Zero: only Hosts may join, and each
+  /// becomes a voter.
+  std::size_t MaxVoters = 0;
   /// Seeds the election timeouts.
   std::uint64_t Seed = 0;
   /// Added to this node's own times on the wire. Differs at each start, so that
--- a/include/jasminearch/consensus/replicated_log.h
+++ b/include/jasminearch/consensus/replicated_log.h
@@ -28,6 +28,12 @@
   /// with StorageAlreadyInitialized. Without it, a host whose folder is empty
   /// joins as a learner and becomes a voter once it has caught up.
   bool Bootstrap = false;
+  /// Voters that open membership keeps: any host may join as a learner, takes
+  /// the place of a voter that has gone silent, and Hosts are only those that
+  /// are asked. Zero: only Hosts may join, and each becomes a voter.
+  std::size_t MaxVoters = 0;
+  /// With Bootstrap, the first voters; empty means Hosts.
+  std::vector<std::string> FirstVoters;
   /// Seeds the election timeouts.
   std::uint64_t Seed = 0;
   /// Entries after which a snapshot is taken.
@@ -90,6 +96,9 @@
   /// that arrive late do not make it look more recent.
   virtual Duration quorumAge() const = 0;
 
+  /// Replaces the hosts that are asked to admit this one.
+  virtual void setHosts(std::vector<std::string> Hosts) = 0;
+
   virtual Revision committed() const = 0;
 
   /// \returns the members as of committed(). A host that is listed as a voter
--- a/include/jasminearch/error.h
+++ b/include/jasminearch/error.h
@@ -31,6 +31,8 @@
   MessageMalformed = 208,
   MessageTooLarge = 209,
   MessageUnknownType = 210,
+  PacketMalformed = 211,
+  DocumentMalformed = 212,
 
   // 3xx: links and sockets.
   SocketFailed = 301,
@@ -56,6 +58,7 @@
   StaleRevision = 412,
   UnknownHost = 413,
   MembershipChangePending = 414,
+  InvalidRoutes = 415,
 
   // 5xx: storage.
   StorageUnavailable = 501,
--- /dev/null
+++ b/include/jasminearch/flow/agent_flows.h
@@ -0,0 +1,185 @@
+#ifndef JASMINEARCH_FLOW_AGENT_FLOWS_H
+#define JASMINEARCH_FLOW_AGENT_FLOWS_H
+
+#include "jasminearch/flow/histogram.h"
+#include "jasminearch/flow/load_report.h"
+#include "jasminearch/flow/packet.h"
+#include "jasminearch/flow/tunnel.h"
+#include "jasminearch/types.h"
+#include <absl/container/flat_hash_map.h>
+#include <absl/types/span.h>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// Decisions of the agent beside one upstream about packet flows, without
+/// sockets or clock.
+namespace jasminearch::flow {
+
+/// Time between load reports to an entry host that asked for them.
+inline constexpr std::chrono::milliseconds ReportInterval{200};
+
+/// Time for which one Subscribe asks for reports: two are lost at most before
+/// the reports stop.
+inline constexpr std::chrono::milliseconds SubscriptionTime{1300};
+
+/// Flows with a packet within this time count as active.
+inline constexpr std::chrono::milliseconds FlowActiveWindow{12'000};
+
+/// Time after which a flow without packets is forgotten: the longest life of a
+/// flow and a margin.
+inline constexpr std::chrono::milliseconds AgentFlowForgotten{75'000};
+
+/// An upstream that has given no sign of life for this long, and has left
+/// packets unanswered for UnansweredGone, has crashed: its flows are lost.
+inline constexpr std::chrono::milliseconds UpstreamGone{3000};
+inline constexpr std::chrono::milliseconds UnansweredGone{1000};
+
+/// Entry hosts that an agent tells apart at most.
+inline constexpr std::size_t MaxEntryTags = 0xFFFF;
+
+/// Weight of the newest response in ResponseTime.
+inline constexpr double ResponseTimeGain = 0.1;
+
+/// What an upstream announces about itself.
+struct UpstreamAnnounced {
+  std::string Name;
+  std::string Service;
+  UpstreamState State = UpstreamState::Unknown;
+  std::uint32_t Slots = 1;
+  /// Time for which it is still slow.
+  std::chrono::milliseconds ColdRemaining{0};
+  /// Increases with each announcement of one start.
+  std::uint64_t Number = 0;
+  /// Start of the upstream's process by its wall clock; names the start.
+  std::int64_t StartedAtMs = 0;
+
+  auto operator<=>(const UpstreamAnnounced &) const = default;
+};
+
+/// What became of an announcement.
+enum class AnnounceOutcome : std::uint8_t { Taken, Outdated };
+
+struct AgentOptions {
+  std::string DataCentre;
+  /// Differs between runs of the agent.
+  std::uint64_t RunId = 0;
+  /// Time after the last sign of life for which the upstream may get new flows.
+  /// Shorter than the time after which its address may belong to another
+  /// service.
+  std::chrono::milliseconds Lease{1800};
+  PacketCodec Codec;
+};
+
+/// A flow that this agent has seen.
+struct AgentFlow {
+  TimePoint LastSeen{};
+  /// When the request without an answer was first delivered.
+  std::optional<TimePoint> RequestAt;
+  /// Entry host that sent its last packet.
+  Endpoint Entry;
+  /// The upstream has answered on it.
+  bool Confirmed = false;
+  bool Ended = false;
+};
+
+struct AgentCounters {
+  std::uint64_t Delivered = 0;
+  std::uint64_t ToCallers = 0;
+  std::uint64_t OpeningsDelivered = 0;
+  std::uint64_t OpeningsDeclined = 0;
+  std::uint64_t ReturnedByUpstream = 0;
+  std::uint64_t NotHeld = 0;
+  std::uint64_t Malformed = 0;
+  std::uint64_t Announcements = 0;
+  std::uint64_t AnnouncementsOutdated = 0;
+};
+
+struct AgentFlows {
+  AgentOptions Options;
+  std::optional<UpstreamAnnounced> Upstream;
+  TimePoint AnnouncedAt{};
+  /// The upstream has said that it is gone.
+  bool Withdrawn = false;
+  /// The agent is about to stop and takes no new flows.
+  bool Stopping = false;
+  /// Last announcement or other sign of life.
+  TimePoint UpstreamHeardAt{};
+  absl::flat_hash_map<FlowKey, AgentFlow> Flows;
+  /// Entry hosts by tag.
+  std::vector<Endpoint> Entries;
+  absl::flat_hash_map<Endpoint, std::uint16_t> EntryTags;
+  /// Until when each entry host wants reports.
+  absl::flat_hash_map<Endpoint, TimePoint> Subscribers;
+  std::uint64_t ReportNumber = 0;
+  TimePoint ReportDue{};
+  TimePoint CleanUpDue{};
+  /// Delivery of the first packet since the upstream last sent something.
+  std::optional<TimePoint> UnansweredSince;
+  std::chrono::duration<double, std::micro> ResponseTime{0};
+  Histogram ResponseTimes;
+  AgentCounters Counters;
+};
+
+// Effects.
+struct ToEntry {
+  Endpoint To;
+  Bytes Datagram;
+};
+struct ToUpstream {
+  Bytes Raw;
+};
+struct ToCaller {
+  Endpoint Caller;
+  Bytes Raw;
+};
+/// A decision that a log line tells.
+struct AgentDecision {
+  std::string_view Event;
+  FlowKey Flow;
+  std::string_view Reason;
+  /// Inputs: the announcement that decided, and its age.
+  std::uint64_t AnnouncementNumber = 0;
+  std::chrono::milliseconds AnnouncementAge{0};
+};
+
+using AgentEffect = std::variant<ToEntry, ToUpstream, ToCaller, AgentDecision>;
+using AgentEffects = std::vector<AgentEffect>;
+
+/// Takes what the upstream says of itself, unless something newer is known.
+AnnounceOutcome announce(AgentFlows &A, const UpstreamAnnounced &Value,
+                         TimePoint Now);
+
+/// The upstream \p Name says that it is gone.
+AnnounceOutcome withdraw(AgentFlows &A, const std::string &Name);
+
+/// Takes no new flows from now on.
+void prepareStop(AgentFlows &A);
+
+/// \returns whether the upstream takes new flows of the service with the tag.
+bool takesNewFlows(const AgentFlows &A, std::uint32_t ServiceTag,
+                   TimePoint Now);
+
+/// Handles a datagram from an entry host.
+void onTunnel(AgentFlows &A, const Endpoint &From,
+              absl::Span<const std::uint8_t> Datagram, TimePoint Now,
+              AgentEffects &Out);
+
+/// Handles a packet from the upstream.
+void onUpstreamPacket(AgentFlows &A, absl::Span<const std::uint8_t> Raw,
+                      TimePoint Now, AgentEffects &Out);
+
+/// Runs timers; call it at least every 50 ms.
+void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out);
+
+/// \returns the report as of \p Now.
+LoadReport report(const AgentFlows &A, TimePoint Now);
+
+} // namespace jasminearch::flow
+
+#endif // JASMINEARCH_FLOW_AGENT_FLOWS_H
--- /dev/null
+++ b/include/jasminearch/flow/entry_flows.h
@@ -0,0 +1,175 @@
+#ifndef JASMINEARCH_FLOW_ENTRY_FLOWS_H
+#define JASMINEARCH_FLOW_ENTRY_FLOWS_H
+
+#include "jasminearch/flow/load_report.h"
+#include "jasminearch/flow/packet.h"
+#include "jasminearch/flow/placement.h"
+#include "jasminearch/flow/routes.h"
+#include "jasminearch/flow/tunnel.h"
+#include "jasminearch/types.h"
+#include <absl/container/flat_hash_map.h>
+#include <absl/types/span.h>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Decisions of an entry host about packet flows, without sockets or clock.
+///
+/// The upstream that holds a flow is the only authority on it. What an entry
+/// host remembers is a cache: when it doesn't know a flow, or is wrong about
+/// it, it asks the agents.
+namespace jasminearch::flow {
+
+/// Time between two Subscribe messages to an agent.
+inline constexpr std::chrono::milliseconds SubscribeInterval{400};
+
+/// Time that agents get to answer Locate. Callers retransmit after 200 ms, so
+/// a search that takes longer is repeated by the next copy anyway.
+inline constexpr std::chrono::milliseconds SearchLimit{180};
+
+/// An agent that has been silent for this long counts as gone: a search doesn't
+/// wait for its answer.
+inline constexpr std::chrono::milliseconds AgentGone{3000};
+
+/// An agent that neither the control hosts list nor itself reports for this
+/// long is forgotten.
+inline constexpr std::chrono::milliseconds AgentForgotten{10'000};
+
+/// Upstreams that an opening packet is offered to before the flow is refused.
+inline constexpr std::size_t MaxOffers = 4;
+
+/// Packets of one flow that wait for the end of a search.
+inline constexpr std::size_t MaxHeldPackets = 16;
+
+/// Searches at a time; further packets of unknown flows are dropped and found
+/// again by their retransmission.
+inline constexpr std::size_t MaxSearches = 4096;
+
+/// Flows that are remembered at most.
+inline constexpr std::size_t MaxFlows = 400'000;
+
+/// Time after which a flow without packets is forgotten. Longer than the idle
+/// timeout of upstreams, so that they end a flow first.
+inline constexpr std::chrono::milliseconds FlowForgotten{60'000};
+
+/// What an entry host knows of an agent.
+struct AgentView {
+  std::optional<LoadReport> Report;
+  TimePoint ReportedAt{};
+  /// Last time that the control hosts listed it or it reported.
+  TimePoint KnownAt{};
+  /// When it became known.
+  TimePoint Since{};
+  /// Flows placed there since its last report.
+  std::uint32_t PlacedSince = 0;
+};
+
+/// Where an entry host believes a flow to be.
+struct OwnedFlow {
+  Endpoint Agent;
+  TimePoint LastSeen{};
+  /// The caller has sent something after its opening packet.
+  bool Established = false;
+  /// Agents whose upstream doesn't take the flow.
+  std::vector<Endpoint> Excluded;
+};
+
+/// A flow whose upstream is being looked for.
+struct Search {
+  TimePoint Started{};
+  /// Agents that haven't answered.
+  std::vector<Endpoint> Waiting;
+  /// Agents that can't tell, and were sent the packets.
+  std::vector<Endpoint> Tried;
+  /// Agents that can't tell, and will be tried.
+  std::vector<Endpoint> Unsure;
+  std::vector<Bytes> Held;
+  std::uint32_t Acknowledged = 0;
+  bool ResetSeen = false;
+};
+
+/// Counters of an entry host since its start.
+struct EntryCounters {
+  std::uint64_t PacketsFromCallers = 0;
+  std::uint64_t Malformed = 0;
+  std::uint64_t WithoutRoutes = 0;
+  std::uint64_t Opened = 0;
+  std::uint64_t OpenedAgain = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t UnknownRoute = 0;
+  std::uint64_t Searches = 0;
+  std::uint64_t Found = 0;
+  std::uint64_t FoundNowhere = 0;
+  std::uint64_t SearchExpired = 0;
+  std::uint64_t SearchOverflow = 0;
+  std::uint64_t Returned = 0;
+};
+
+struct EntryFlows {
+  PacketCodec Codec;
+  std::shared_ptr<const RouteIndex> Routes;
+  absl::flat_hash_map<Endpoint, AgentView> Agents;
+  absl::flat_hash_map<FlowKey, OwnedFlow> Flows;
+  absl::flat_hash_map<FlowKey, Search> Searches;
+  TimePoint SubscribeDue{};
+  TimePoint CleanUpDue{};
+  EntryCounters Counters;
+};
+
+// Effects.
+struct SendTunnel {
+  Endpoint To;
+  Bytes Datagram;
+};
+struct SendReset {
+  Reset Value;
+};
+/// A decision that a log line tells.
+struct FlowDecision {
+  std::string_view Event;
+  FlowKey Flow;
+  std::string_view Reason;
+  Endpoint Agent;
+  /// Inputs: version of the routes, age of the report, load that it told.
+  std::uint64_t RoutesVersion = 0;
+  std::chrono::milliseconds ReportAge{0};
+  std::uint32_t Outstanding = 0;
+  std::uint32_t ActiveFlows = 0;
+};
+
+using EntryEffect = std::variant<SendTunnel, SendReset, FlowDecision>;
+using EntryEffects = std::vector<EntryEffect>;
+
+/// Replaces the routes by newer ones. Older ones are ignored: what is in force
+/// never reverts.
+void setRoutes(EntryFlows &E, std::shared_ptr<const RouteIndex> Routes);
+
+/// Adds the agents that the control hosts list.
+void listAgents(EntryFlows &E, const std::vector<Endpoint> &Listed,
+                TimePoint Now, EntryEffects &Out);
+
+/// Handles a caller's packet.
+void onCallerPacket(EntryFlows &E, absl::Span<const std::uint8_t> Raw,
+                    TimePoint Now, EntryEffects &Out);
+
+/// Handles a datagram from an agent.
+void onTunnel(EntryFlows &E, const Endpoint &From,
+              absl::Span<const std::uint8_t> Datagram, TimePoint Now,
+              EntryEffects &Out);
+
+/// Runs timers; call it at least every 50 ms.
+void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out);
+
+/// \returns whether new flows can be placed: routes are known and every listed
+/// agent has either reported or been known for \p Patience.
+bool readyToPlace(const EntryFlows &E, TimePoint Now,
+                  std::chrono::milliseconds Patience);
+
+} // namespace jasminearch::flow
+
+#endif // JASMINEARCH_FLOW_ENTRY_FLOWS_H
--- /dev/null
+++ b/include/jasminearch/flow/tunnel.h
@@ -0,0 +1,80 @@
+#ifndef JASMINEARCH_FLOW_TUNNEL_H
+#define JASMINEARCH_FLOW_TUNNEL_H
+
+#include "jasminearch/error.h"
+#include "jasminearch/flow/packet.h"
+#include "jasminearch/types.h"
+#include <absl/types/span.h>
+#include <compare>
+#include <cstdint>
+#include <string>
+
+/// Datagrams between entry hosts and agents: a fixed header, then the packet,
+/// flow key or report that it is about.
+namespace jasminearch::flow {
+
+enum class TunnelKind : std::uint8_t {
+  /// Entry to agent: a caller's packet. Opening packets carry the service that
+  /// they are meant for.
+  Forward = 1,
+  /// Agent to entry: a packet that the agent's upstream doesn't take.
+  Returned = 2,
+  /// Entry to agent: asks whether the upstream holds a flow.
+  Locate = 3,
+  /// Agent to entry: answers Locate, or tells unasked that it holds a flow.
+  Located = 4,
+  /// Entry to agent: asks for load reports for a while.
+  Subscribe = 5,
+  /// Agent to entry: a LoadReport.
+  Load = 6,
+};
+
+/// Answers to Locate, and the reason of Returned.
+enum class Holding : std::uint8_t {
+  /// The flow isn't here.
+  No = 0,
+  Yes = 1,
+  /// The agent started after its upstream and has not seen the flow; only
+  /// the upstream itself can tell.
+  Unsure = 2,
+  /// Returned: the upstream is not ready for new flows, or is of another
+  /// service.
+  NotReady = 3,
+};
+
+struct TunnelHeader {
+  TunnelKind Kind = TunnelKind::Forward;
+  Holding Detail = Holding::No;
+  /// Forward of an opening packet: serviceTag() of the service.
+  std::uint32_t ServiceTag = 0;
+
+  auto operator<=>(const TunnelHeader &) const = default;
+};
+
+/// Bytes of an encoded header.
+inline constexpr std::size_t TunnelHeaderBytes = 8;
+
+/// A decoded datagram; Payload points into it.
+struct TunnelDatagram {
+  TunnelHeader Header;
+  absl::Span<const std::uint8_t> Payload;
+};
+
+/// \returns the tag under which both ends know a service name.
+std::uint32_t serviceTag(const std::string &Service);
+
+/// Writes header and payload into one datagram.
+Bytes encodeTunnel(const TunnelHeader &Header,
+                   absl::Span<const std::uint8_t> Payload);
+
+/// \returns PacketMalformed for a datagram that is too short, of another
+/// version or of an unknown kind.
+Expected<TunnelDatagram> decodeTunnel(absl::Span<const std::uint8_t> Datagram);
+
+/// Payload of Locate and Located.
+Bytes encodeFlowKey(const FlowKey &Key);
+Expected<FlowKey> decodeFlowKey(absl::Span<const std::uint8_t> Payload);
+
+} // namespace jasminearch::flow
+
+#endif // JASMINEARCH_FLOW_TUNNEL_H
--- a/include/jasminearch/log.h
+++ b/include/jasminearch/log.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <variant>
 
-/// Structured logs: JSON lines on standard error, written through glog.
+/// Structured logs: JSON lines, written through glog.
 namespace jasminearch {
 
 enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
@@ -20,10 +20,15 @@
   std::variant<std::string, std::int64_t, std::uint64_t, double, bool> Value;
 };
 
+/// Where lines go. A line for standard output that would block is left out and
+/// counted in the next one, as "lines_lost".
+enum class LogTarget : std::uint8_t { StandardError, StandardOutput };
+
 /// Sets up logging for this process. \p Program and \p Host are written on each
 /// line. \p Level is one of the names of CommonSettings::LogLevel.
 void startLog(const std::string &Program, const std::string &Host,
-              const std::string &Level);
+              const std::string &Level,
+              LogTarget Target = LogTarget::StandardError);
 
 /// Writes one line: time, level, program, host, event and \p Fields.
 /// \p Event is a stable name in snake case, for example "drain_started".
--- a/src/clock.cpp
+++ b/src/clock.cpp
@@ -1,4 +1,5 @@
 #include "jasminearch/clock.h"
+#include <ctime>
 
 namespace jasminearch {
 
@@ -13,4 +14,15 @@
   Wall += std::chrono::duration_cast<WallTime::duration>(Step);
 }
 
+TimePoint BootClock::now() const {
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return TimePoint(std::chrono::seconds(Now.tv_sec) +
+                   std::chrono::nanoseconds(Now.tv_nsec));
+}
+
+WallTime BootClock::wallTime() const {
+  return std::chrono::system_clock::now();
+}
+
 } // namespace jasminearch
--- a/src/consensus/node_membership.cpp
+++ b/src/consensus/node_membership.cpp
@@ -22,9 +22,39 @@
          Node.Peers.at(M.Host).Match >= Node.CommittedAtHeartbeat;
 }
 
+/// \returns whether \p M has been silent for \p Limit. A leader judges only
+/// once it has led that long.
+bool silentFor(const NodeState &Node, const Member &M, Duration Limit,
+               TimePoint Now) {
+  return M.Host != Node.Options.Host && Now - Node.LeadingSince >= Limit &&
+         !answeredWithin(Node, M, Limit, Now);
+}
+
+std::size_t voterCount(const std::vector<Member> &Members) {
+  return static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(),
+                    [](const Member &M) { return M.Voter; }));
+}
+
+/// \returns whether open membership has room for another voter: below the
+/// limit, or at the limit with a silent voter that it replaces.
+bool voterWanted(const NodeState &Node, const std::vector<Member> &Members,
+                 TimePoint Now) {
+  const std::size_t Limit = Node.Options.MaxVoters;
+  const std::size_t Voters = voterCount(Members);
+  if (Limit == 0 || Voters < Limit)
+    return true;
+  return Voters == Limit &&
+         std::any_of(Members.begin(), Members.end(), [&](const Member &M) {
+           return M.Voter && silentFor(Node, M, ReplaceAfter, Now);
+         });
+}
+
 /// Makes the first learner that has caught up a voter.
 bool promote(const NodeState &Node, std::vector<Member> &Members,
              TimePoint Now) {
+  if (!voterWanted(Node, Members, Now))
+    return false;
   for (Member &M : Members) {
     if (M.Voter || !caughtUp(Node, M, Now))
       continue;
@@ -34,6 +64,25 @@
   return false;
 }
 
+/// With open membership: removes a silent voter beyond the limit, or a learner
+/// that has been silent for long.
+bool removeSilent(const NodeState &Node, std::vector<Member> &Members,
+                  TimePoint Now) {
+  if (Node.Options.MaxVoters == 0)
+    return false;
+  const bool Surplus = voterCount(Members) > Node.Options.MaxVoters;
+  const auto At =
+      std::find_if(Members.begin(), Members.end(), [&](const Member &M) {
+        if (M.Voter)
+          return Surplus && silentFor(Node, M, ReplaceAfter, Now);
+        return silentFor(Node, M, ForgetLearnerAfter, Now);
+      });
+  if (At == Members.end())
+    return false;
+  Members.erase(At);
+  return true;
+}
+
 /// Adds a data folder as a learner, in place of any other of the same host. A
 /// folder that still answers is not replaced: the request is an old one, or
 /// two processes use one host name.
@@ -97,8 +146,10 @@
 void onJoinRequest(NodeState &Node, const std::string &Host,
                    const Message &Received, TimePoint Now) {
   const auto &Known = Node.Options.Hosts;
-  if (Node.Is != Role::Leader ||
-      std::find(Known.begin(), Known.end(), Host) == Known.end())
+  const bool MayJoin =
+      Node.Options.MaxVoters != 0 ||
+      std::find(Known.begin(), Known.end(), Host) != Known.end();
+  if (Node.Is != Role::Leader || !MayJoin)
     return;
   Node.Joining[Host] = {Received.FromStorage, Now};
 }
@@ -110,7 +161,8 @@
   if (!mayChange(Node, Now))
     return;
   std::vector<Member> Members = membersOf(Node);
-  bool Changed = promote(Node, Members, Now);
+  bool Changed =
+      removeSilent(Node, Members, Now) || promote(Node, Members, Now);
   for (const auto &[Host, Request] : Node.Joining) {
     if (!Changed)
       Changed = admit(Node, Members, {Host, Request.first}, Now);
@@ -131,7 +183,9 @@
       std::any_of(Members.begin(), Members.end(), [&Node](const Member &M) {
         return StorageRef{M.Host, M.StorageId} == self(Node);
       });
-  if (Known)
+  const bool LeaderHeard = Now - Node.LeaderHeardAt < RejoinAfter;
+  if (Known && (Node.Options.MaxVoters == 0 || Node.Is == Role::Leader ||
+                LeaderHeard))
     return;
   for (const std::string &Host : Node.Options.Hosts) {
     if (Host != Node.Options.Host)
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -33,7 +33,9 @@
 /// The same on every host, whatever the order of its settings.
 std::vector<Member> initialMembers(const ReplicatedLogOptions &Options) {
   std::vector<Member> Members;
-  for (const std::string &Host : Options.Hosts)
+  const auto &Voters =
+      Options.FirstVoters.empty() ? Options.Hosts : Options.FirstVoters;
+  for (const std::string &Host : Voters)
     Members.push_back({Host, bootstrapStorageId(Options.Cluster, Host), true});
   std::sort(Members.begin(), Members.end(),
             [](const Member &A, const Member &B) { return A.Host < B.Host; });
@@ -59,6 +61,7 @@
   Node.Host = Options.Host;
   Node.StorageId = StorageId;
   Node.Hosts = Options.Hosts;
+  Node.MaxVoters = Options.MaxVoters;
   // Hosts with one seed must not have the same election timeouts.
   Node.Seed = Options.Seed ^ hashOf(Options.Host);
   Node.StampOffset = static_cast<std::int64_t>(randomNumber() % MaxOffset);
@@ -131,6 +134,10 @@
     return consensus::quorumAge(Node, Time.now());
   }
 
+  void setHosts(std::vector<std::string> Hosts) override {
+    Node.Options.Hosts = std::move(Hosts);
+  }
+
   Revision committed() const override { return Revision{Applied}; }
 
   std::vector<Member> members() const override {
--- a/src/error.cpp
+++ b/src/error.cpp
@@ -36,6 +36,10 @@
     return "MessageTooLarge";
   case ErrorCode::MessageUnknownType:
     return "MessageUnknownType";
+  case ErrorCode::PacketMalformed:
+    return "PacketMalformed";
+  case ErrorCode::DocumentMalformed:
+    return "DocumentMalformed";
   case ErrorCode::SocketFailed:
     return "SocketFailed";
   case ErrorCode::LinkFailed:
@@ -78,6 +82,8 @@
     return "UnknownHost";
   case ErrorCode::MembershipChangePending:
     return "MembershipChangePending";
+  case ErrorCode::InvalidRoutes:
+    return "InvalidRoutes";
   case ErrorCode::StorageUnavailable:
     return "StorageUnavailable";
   case ErrorCode::StorageCorrupt:
--- /dev/null
+++ b/src/fleet/control_node.cpp
@@ -0,0 +1,476 @@
+#include "jasminearch/fleet/control_node.h"
+#include "jasminearch/log.h"
+#include <algorithm>
+#include <utility>
+
+namespace jasminearch::fleet {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// Age as told when no quorum was ever shown.
+constexpr milliseconds NoQuorumAge{3'600'000};
+
+/// Version that marks a Served link as not subscribed to routes.
+bool takesRoutes(const Hello &From) { return From.Sender == Role::Entry; }
+
+} // namespace
+
+ControlNode::ControlNode(ControlNodeOptions Given, const Clock &Time,
+                         LogOpener Open)
+    : Options(std::move(Given)), Time(Time), Open(std::move(Open)),
+      Seeds(Options.Seeds.begin(), Options.Seeds.end()) {
+  for (const std::string &Host : Seeds)
+    learnControlHost(Host);
+  openLog();
+}
+
+std::uint64_t ControlNode::version() const {
+  return Current ? Current->Table.Version : 0;
+}
+
+link::LinkHandlers ControlNode::linkHandlers() {
+  link::LinkHandlers H;
+  H.Opened = [this](link::LinkId Id, bool IsIncoming) {
+    opened(Id, IsIncoming);
+  };
+  H.Received = [this](link::LinkId Id, const Bytes &Message) {
+    received(Id, Message);
+  };
+  H.Closed = [this](link::LinkId Id) { closed(Id); };
+  return H;
+}
+
+// Log -------------------------------------------------------------------------
+
+void ControlNode::openLog() {
+  consensus::ReplicatedLogOptions O;
+  O.Cluster = Options.Cluster;
+  O.Host = Options.Host;
+  O.Hosts = knownHosts();
+  O.DataFolder = Options.DataFolder;
+  O.MaxVoters = 2 * Options.LossesBorne + 1;
+  O.Seed = Options.Seed;
+  O.SnapshotEvery = SnapshotEntries;
+  O.FirstVoters = Options.Seeds;
+  O.Bootstrap = Options.Bootstrap && Seeds.contains(Options.Host);
+  LogFailed = false;
+  auto Opened = Open(O, logHandlers());
+  if (!Opened && O.Bootstrap &&
+      Opened.error().Code == ErrorCode::StorageAlreadyInitialized) {
+    O.Bootstrap = false;
+    Opened = Open(O, logHandlers());
+  }
+  if (!Opened)
+    return storageFailed(Opened.error());
+  Log = std::move(*Opened);
+  logEvent(LogLevel::Info, "storage_opened",
+           {{"version", version()}, {"bootstrap", O.Bootstrap}});
+}
+
+consensus::ReplicatedLogHandlers ControlNode::logHandlers() {
+  consensus::ReplicatedLogHandlers H;
+  H.SendToPeer = [this](const std::string &Host, Bytes Body) {
+    const auto At = Peers.find(Host);
+    if (At == Peers.end())
+      return learnControlHost(Host);
+    const Peer &P = At->second;
+    if (P.Open && Hub->queuedBytes(*P.Link) < PeerQueueLimit)
+      send(*P.Link, Consensus{std::move(Body)});
+  };
+  H.Committed = [this](Revision, const Bytes &Entry) {
+    if (auto Adopted = adopt(Entry); !Adopted)
+      logError("entry_unreadable", Adopted.error());
+  };
+  H.Restore = [this](Revision, const Bytes &State) -> Expected<void> {
+    return State.empty() ? Expected<void>{} : adopt(State);
+  };
+  H.Capture = [this] { return CurrentEntry; };
+  H.LeadershipChanged = [this](bool Leading) {
+    logEvent(LogLevel::Info, Leading ? "leadership_won" : "leadership_lost",
+             {{"version", version()}});
+  };
+  H.StorageFailed = [this](const Error &Failure) {
+    logError("storage_failed", Failure);
+    LogFailed = LogFailed || Failure.Code != ErrorCode::StorageFull;
+  };
+  return H;
+}
+
+/// Puts a committed configuration in force, unless a higher one is.
+Expected<void> ControlNode::adopt(const Bytes &Entry) {
+  auto Decoded = decodeAccepted(Entry);
+  if (!Decoded)
+    return tl::unexpected(Decoded.error());
+  if (Current && Decoded->Table.Version <= Current->Table.Version) {
+    logEvent(LogLevel::Info, "routes_overtaken",
+             {{"version", Decoded->Table.Version}, {"in_force", version()}});
+    return {};
+  }
+  Current = std::move(*Decoded);
+  CurrentEntry = Entry;
+  CurrentMessage = encode(Routes{Current->Table});
+  logEvent(LogLevel::Info, "routes_committed",
+           {{"version", version()},
+            {"routes", std::uint64_t{Current->Table.Routes.size()}}});
+  return {};
+}
+
+/// Closes the log; tick() opens it again.
+void ControlNode::storageFailed(const Error &Failure) {
+  logError("storage_closed", Failure);
+  Log.reset();
+  ReopenDue = Time.now() + ReopenPause;
+}
+
+// Links -----------------------------------------------------------------------
+
+void ControlNode::send(link::LinkId Id, const Message &Value) {
+  Hub->send(Id, encode(Value));
+}
+
+Status ControlNode::status() const {
+  const Duration Age = Log ? Log->quorumAge() : Duration::max();
+  const milliseconds Told =
+      Age > NoQuorumAge ? NoQuorumAge : duration_cast<milliseconds>(Age);
+  return {Told, version()};
+}
+
+bool ControlNode::quorumFresh() const {
+  return Log && Log->quorumAge() < QuorumFresh;
+}
+
+std::vector<std::string> ControlNode::knownHosts() const {
+  std::vector<std::string> Hosts;
+  for (const auto &[Host, Unused] : Peers)
+    Hosts.push_back(Host);
+  Hosts.push_back(Options.Host);
+  return Hosts;
+}
+
+void ControlNode::learnControlHost(const std::string &Host) {
+  if (Host == Options.Host)
+    return;
+  const auto [At, New] = Peers.try_emplace(Host);
+  if (!New)
+    return;
+  At->second.KnownAt = Time.now();
+  if (Log)
+    Log->setHosts(knownHosts());
+}
+
+void ControlNode::setSeeds(std::vector<std::string> Given) {
+  Seeds = {Given.begin(), Given.end()};
+  for (const std::string &Host : Seeds)
+    learnControlHost(Host);
+}
+
+void ControlNode::opened(link::LinkId Id, bool IsIncoming) {
+  const TimePoint Now = Time.now();
+  if (IsIncoming) {
+    Served &L = Incoming[Id];
+    L.HeardAt = Now;
+    return;
+  }
+  const auto Host = PeerOfLink.find(Id);
+  if (Host == PeerOfLink.end())
+    return Hub->close(Id);
+  Peer &P = Peers[Host->second];
+  P.Open = true;
+  P.HeardAt = P.KnownAt = Now;
+  P.StatusDue = Now + StatusInterval;
+  send(Id, Hello{Role::Control, Options.Host, {}, version()});
+  send(Id, allAgents(Now));
+  logEvent(LogLevel::Info, "control_host_linked", {{"peer", Host->second}});
+}
+
+void ControlNode::closed(link::LinkId Id) {
+  Incoming.erase(Id);
+  const auto Host = PeerOfLink.find(Id);
+  if (Host == PeerOfLink.end())
+    return;
+  const auto At = Peers.find(Host->second);
+  if (At != Peers.end() && At->second.Link == Id) {
+    if (At->second.Open)
+      logEvent(LogLevel::Warning, "control_host_lost", {{"peer", At->first}});
+    At->second.Link.reset();
+    At->second.Open = false;
+    At->second.DialDue = Time.now() + RedialPause;
+  }
+  PeerOfLink.erase(Host);
+}
+
+void ControlNode::received(link::LinkId Id, const Bytes &Encoded) {
+  const TimePoint Now = Time.now();
+  auto Decoded = decode(Encoded);
+  if (!Decoded) {
+    logError("message_unreadable", Decoded.error());
+    return;
+  }
+  if (const auto Host = PeerOfLink.find(Id); Host != PeerOfLink.end()) {
+    Peer &P = Peers[Host->second];
+    P.HeardAt = P.KnownAt = Now;
+    if (const auto *Known = std::get_if<ControlHosts>(&*Decoded))
+      for (const std::string &Other : Known->Hosts)
+        learnControlHost(Other);
+    return;
+  }
+  const auto At = Incoming.find(Id);
+  if (At == Incoming.end())
+    return;
+  At->second.HeardAt = Now;
+  handle(Id, At->second, *Decoded);
+}
+
+void ControlNode::greet(link::LinkId Id, Served &L, const Hello &Value) {
+  L.Greeted = true;
+  L.From = Value;
+  L.SentVersion = Value.RoutesVersion;
+  if (Value.Sender == Role::Control)
+    learnControlHost(Value.Host);
+  if (Value.Sender == Role::Agent)
+    learnAgent(Value.Tunnel, Time.now());
+  send(Id, ControlHosts{knownHosts()});
+  if (Value.Sender == Role::Entry)
+    send(Id, allAgents(Time.now()));
+}
+
+void ControlNode::handle(link::LinkId Id, Served &L, const Message &Value) {
+  const TimePoint Now = Time.now();
+  if (const auto *M = std::get_if<Hello>(&Value))
+    return greet(Id, L, *M);
+  if (!L.Greeted)
+    return Hub->close(Id);
+  if (const auto *M = std::get_if<Consensus>(&Value)) {
+    if (Log && L.From.Sender == Role::Control)
+      Log->receive(L.From.Host, M->Body);
+  } else if (const auto *M = std::get_if<Agents>(&Value)) {
+    for (const AgentRecord &R : M->Known)
+      learnAgent(R.Tunnel, Now - R.Age);
+  } else if (std::get_if<Status>(&Value) && L.From.Sender == Role::Agent) {
+    learnAgent(L.From.Tunnel, Now);
+  }
+}
+
+// Agents ----------------------------------------------------------------------
+
+Agents ControlNode::allAgents(TimePoint Now) const {
+  Agents All;
+  All.Complete = true;
+  for (const auto &[Tunnel, HeardAt] : Directory)
+    All.Known.push_back({Tunnel, duration_cast<milliseconds>(Now - HeardAt)});
+  return All;
+}
+
+void ControlNode::learnAgent(const Endpoint &Tunnel, TimePoint HeardAt) {
+  const TimePoint Now = Time.now();
+  if (Now - HeardAt >= AgentRecordLife)
+    return;
+  const auto [At, New] = Directory.try_emplace(Tunnel, HeardAt);
+  At->second = std::max(At->second, HeardAt);
+  if (!New)
+    return;
+  logEvent(LogLevel::Info, "agent_known", {{"agent", toString(Tunnel)}});
+  broadcastAgent({Tunnel, duration_cast<milliseconds>(Now - HeardAt)});
+}
+
+void ControlNode::broadcastAgent(const AgentRecord &Record) {
+  if (!Hub)
+    return;
+  const Bytes Encoded = encode(Agents{{Record}, false});
+  for (const auto &[Id, L] : Incoming)
+    if (L.Greeted && L.From.Sender == Role::Entry)
+      Hub->send(Id, Encoded);
+  for (const auto &[Host, P] : Peers)
+    if (P.Open)
+      Hub->send(*P.Link, Encoded);
+}
+
+// Timers ----------------------------------------------------------------------
+
+void ControlNode::dial(const std::string &Host, Peer &P, TimePoint Now) {
+  if (P.Link || Now < P.DialDue)
+    return;
+  P.Link = Hub->connect(Host, Options.LinkPort);
+  P.Open = false;
+  P.HeardAt = Now;
+  PeerOfLink[*P.Link] = Host;
+}
+
+void ControlNode::tickPeers(TimePoint Now) {
+  std::vector<std::string> Forgotten;
+  const auto Members = Log ? Log->members() : std::vector<consensus::Member>();
+  for (const consensus::Member &M : Members)
+    learnControlHost(M.Host);
+  for (auto &[Host, P] : Peers) {
+    if (P.Link && Now - P.HeardAt >= LinkSilent) {
+      if (P.Open)
+        logEvent(LogLevel::Warning, "control_host_silent", {{"peer", Host}});
+      const link::LinkId Id = *P.Link;
+      P.Link.reset();
+      P.Open = false;
+      PeerOfLink.erase(Id);
+      Hub->close(Id);
+    }
+    if (P.Open && Now >= P.StatusDue) {
+      P.StatusDue = Now + StatusInterval;
+      send(*P.Link, status());
+    }
+    dial(Host, P, Now);
+    const bool Needed =
+        Seeds.contains(Host) ||
+        std::any_of(Members.begin(), Members.end(),
+                    [&Name = Host](const auto &M) { return M.Host == Name; });
+    if (!P.Open && !Needed && Now - P.KnownAt >= ControlHostLife)
+      Forgotten.push_back(Host);
+  }
+  for (const std::string &Host : Forgotten) {
+    if (const auto Id = Peers[Host].Link) {
+      PeerOfLink.erase(*Id);
+      Hub->close(*Id);
+    }
+    Peers.erase(Host);
+  }
+}
+
+void ControlNode::tickServed(TimePoint Now) {
+  std::vector<link::LinkId> Silent;
+  for (auto &[Id, L] : Incoming) {
+    if (Now - L.HeardAt >= 2 * LinkSilent) {
+      Silent.push_back(Id);
+      continue;
+    }
+    if (!L.Greeted)
+      continue;
+    if (Now >= L.StatusDue) {
+      L.StatusDue = Now + StatusInterval;
+      send(Id, status());
+    }
+    const bool Newer = Current && L.SentVersion < Current->Table.Version;
+    if (!Newer || !takesRoutes(L.From) || Now < L.RoutesDue || !quorumFresh())
+      continue;
+    L.RoutesDue = Now + RoutesPause;
+    L.SentVersion = Current->Table.Version;
+    Hub->send(Id, CurrentMessage);
+  }
+  for (const link::LinkId Id : Silent) {
+    Incoming.erase(Id);
+    Hub->close(Id);
+  }
+}
+
+void ControlNode::tickDirectory(TimePoint Now) {
+  if (Now < GossipDue)
+    return;
+  constexpr milliseconds GossipInterval{2000};
+  GossipDue = Now + GossipInterval;
+  std::erase_if(Directory, [Now](const auto &Item) {
+    return Now - Item.second >= AgentRecordLife;
+  });
+  const Bytes All = encode(allAgents(Now));
+  const Bytes Hosts = encode(ControlHosts{knownHosts()});
+  for (const auto &[Id, L] : Incoming) {
+    if (!L.Greeted)
+      continue;
+    Hub->send(Id, Hosts);
+    if (L.From.Sender == Role::Entry)
+      Hub->send(Id, All);
+  }
+  for (const auto &[Host, P] : Peers)
+    if (P.Open)
+      Hub->send(*P.Link, All);
+}
+
+void ControlNode::tick() {
+  const TimePoint Now = Time.now();
+  if (LogFailed)
+    storageFailed({ErrorCode::StorageUnavailable, "an earlier write failed"});
+  LogFailed = false;
+  if (!Log && Now >= ReopenDue)
+    openLog();
+  if (Log)
+    Log->tick();
+  tickPeers(Now);
+  tickServed(Now);
+  tickDirectory(Now);
+  tickWaiting(Now);
+}
+
+// Operators -------------------------------------------------------------------
+
+void ControlNode::submit(AcceptedRoutes Value,
+                         std::function<void(SubmitResult)> Done) {
+  Waiting W;
+  W.Version = Value.Table.Version;
+  W.Value = std::move(Value);
+  W.Deadline = Time.now() + SubmitPatience;
+  W.Done = std::move(Done);
+  if (advance(W, Time.now()))
+    return;
+  Submissions.push_back(std::move(W));
+  if (Log)
+    Log->flush();
+  tickWaiting(Time.now());
+}
+
+void ControlNode::read(std::function<void(ReadResult)> Done) {
+  WaitingRead W{Time.now() + SubmitPatience, std::move(Done)};
+  if (!advance(W, Time.now()))
+    Reads.push_back(std::move(W));
+}
+
+void ControlNode::tickWaiting(TimePoint Now) {
+  std::erase_if(Submissions, [&](Waiting &W) { return advance(W, Now); });
+  std::erase_if(Reads, [&](WaitingRead &W) { return advance(W, Now); });
+}
+
+bool ControlNode::advance(Waiting &W, TimePoint Now) {
+  const auto Answer = [&](std::string_view Outcome, SubmitResult Result) {
+    logEvent(LogLevel::Info, "submission_answered",
+             {{"version", W.Version},
+              {"in_force", version()},
+              {"outcome", std::string(Outcome)}});
+    W.Done(std::move(Result));
+    return true;
+  };
+  const bool Leads = leading();
+  if (Leads && Current && Current->Table.Version >= W.Version)
+    return Answer("accepted", Accepted{W.Version});
+  if (Now >= W.Deadline)
+    return Answer("unavailable",
+                  Unavailable{{ErrorCode::NoQuorum, "no leader committed it"}});
+  const auto Leader = Log ? Log->leader() : std::nullopt;
+  if (!Leads && Leader && *Leader != Options.Host && quorumFresh())
+    return Answer("led_elsewhere", LedElsewhere{*Leader});
+  if (!Leads || W.Proposed)
+    return false;
+  const auto Proposed = Log->propose(encodeAccepted(W.Value));
+  if (!Proposed)
+    return Answer("refused_by_log", Unavailable{Proposed.error()});
+  W.Proposed = true;
+  return false;
+}
+
+bool ControlNode::advance(WaitingRead &W, TimePoint Now) {
+  if (leading()) {
+    if (Current)
+      W.Done(CurrentRoutes{version(), Current->Document});
+    else
+      W.Done(NoRoutes{});
+    return true;
+  }
+  const auto Leader = Log ? Log->leader() : std::nullopt;
+  if (Leader && *Leader != Options.Host && quorumFresh()) {
+    W.Done(LedElsewhere{*Leader});
+    return true;
+  }
+  if (Now < W.Deadline)
+    return false;
+  W.Done(
+      Unavailable{{ErrorCode::NoQuorum, "no leader is confirmed by a quorum"}});
+  return true;
+}
+
+} // namespace jasminearch::fleet
--- /dev/null
+++ b/src/flow/agent_flows.cpp
@@ -0,0 +1,341 @@
+#include "jasminearch/flow/agent_flows.h"
+#include <algorithm>
+#include <utility>
+
+namespace jasminearch::flow {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// What every step needs.
+struct Context {
+  AgentFlows &A;
+  TimePoint Now;
+  AgentEffects &Out;
+};
+
+void note(Context &C, std::string_view Event, const FlowKey &Flow,
+          std::string_view Reason) {
+  AgentDecision D{Event, Flow, Reason, 0, {}};
+  if (C.A.Upstream) {
+    D.AnnouncementNumber = C.A.Upstream->Number;
+    D.AnnouncementAge =
+        duration_cast<milliseconds>(C.Now - C.A.UpstreamHeardAt);
+  }
+  C.Out.emplace_back(D);
+}
+
+void sendToEntry(Context &C, const Endpoint &To, TunnelKind Kind,
+                 Holding Detail, absl::Span<const std::uint8_t> Payload) {
+  C.Out.emplace_back(ToEntry{To, encodeTunnel({Kind, Detail, 0}, Payload)});
+}
+
+void sendBack(Context &C, const Endpoint &To, Holding Reason,
+              absl::Span<const std::uint8_t> Raw) {
+  sendToEntry(C, To, TunnelKind::Returned, Reason, Raw);
+}
+
+constexpr unsigned RunShift = 16;
+
+/// Part of a tag that tells this run of the agent from earlier ones.
+std::uint32_t runMark(const AgentFlows &A) {
+  return static_cast<std::uint32_t>(A.Options.RunId & 0xFFFF) << RunShift;
+}
+
+/// \returns the tag under which packets of \p Entry go to the upstream, so that
+/// a returned packet finds its way back.
+std::uint32_t tagOf(AgentFlows &A, const Endpoint &Entry) {
+  const auto [At, New] = A.EntryTags.try_emplace(
+      Entry, static_cast<std::uint16_t>(A.Entries.size()));
+  if (New) {
+    if (A.Entries.size() >= MaxEntryTags) {
+      A.Entries.clear();
+      A.EntryTags.clear();
+      return tagOf(A, Entry);
+    }
+    A.Entries.push_back(Entry);
+  }
+  return runMark(A) | At->second;
+}
+
+/// \returns the entry host behind a tag, unless another run of the agent wrote
+/// it.
+std::optional<Endpoint> entryOf(const AgentFlows &A, std::uint32_t Tag) {
+  const std::size_t Index = Tag & 0xFFFF;
+  if ((Tag & 0xFFFF0000U) != runMark(A) || Index >= A.Entries.size())
+    return std::nullopt;
+  return A.Entries[Index];
+}
+
+/// \returns whether the last sign of life of the upstream is recent.
+bool leased(const AgentFlows &A, TimePoint Now) {
+  return A.Upstream && Now - A.UpstreamHeardAt < A.Options.Lease;
+}
+
+/// \returns whether the upstream is known to hold no flow any more: it has said
+/// so, or it has neither announced itself nor answered for long.
+bool gone(const AgentFlows &A, TimePoint Now) {
+  if (!A.Upstream)
+    return false;
+  if (A.Withdrawn)
+    return true;
+  return Now - A.UpstreamHeardAt >= UpstreamGone && A.UnansweredSince &&
+         Now - *A.UnansweredSince >= UnansweredGone;
+}
+
+void deliver(Context &C, const Endpoint &Entry, const Packet &P,
+             absl::Span<const std::uint8_t> Raw) {
+  ++C.A.Counters.Delivered;
+  const bool WantsAnswer = P.Opens || P.Finishes || P.DataBytes != 0;
+  if (WantsAnswer && !C.A.UnansweredSince)
+    C.A.UnansweredSince = C.Now;
+  Bytes Copy(Raw.begin(), Raw.end());
+  C.A.Options.Codec.SetTag(absl::MakeSpan(Copy), tagOf(C.A, Entry));
+  C.Out.emplace_back(ToUpstream{std::move(Copy)});
+}
+
+void track(Context &C, const Packet &P, const Endpoint &Entry) {
+  AgentFlow &F = C.A.Flows[P.Flow];
+  F.LastSeen = C.Now;
+  F.Entry = Entry;
+  if (P.Opens)
+    F.Ended = false;
+  if (P.DataBytes != 0 && !F.RequestAt)
+    F.RequestAt = C.Now;
+  if (P.Resets)
+    F.Ended = true;
+}
+
+void onOpening(Context &C, const Endpoint &Entry, std::uint32_t ServiceTag,
+               const Packet &P, absl::Span<const std::uint8_t> Raw) {
+  if (!takesNewFlows(C.A, ServiceTag, C.Now)) {
+    ++C.A.Counters.OpeningsDeclined;
+    note(C, "opening_declined", P.Flow,
+         leased(C.A, C.Now) ? "draining or of another service"
+                            : "upstream not heard");
+    return sendBack(C, Entry, Holding::NotReady, Raw);
+  }
+  ++C.A.Counters.OpeningsDelivered;
+  track(C, P, Entry);
+  deliver(C, Entry, P, Raw);
+}
+
+void onForward(Context &C, const Endpoint &Entry, const TunnelHeader &Header,
+               absl::Span<const std::uint8_t> Raw) {
+  const auto Decoded = C.A.Options.Codec.Decode(Raw, Direction::FromCaller);
+  if (!Decoded) {
+    ++C.A.Counters.Malformed;
+    return;
+  }
+  const Packet &P = *Decoded;
+  if (P.Opens)
+    return onOpening(C, Entry, Header.ServiceTag, P, Raw);
+  if (gone(C.A, C.Now)) {
+    ++C.A.Counters.NotHeld;
+    return sendBack(C, Entry, Holding::No, Raw);
+  }
+  track(C, P, Entry);
+  deliver(C, Entry, P, Raw);
+}
+
+void onLocate(Context &C, const Endpoint &Entry, const FlowKey &Flow) {
+  // Only the upstream itself can tell that it doesn't hold a flow.
+  Holding Answer = Holding::Unsure;
+  const auto At = C.A.Flows.find(Flow);
+  if (At != C.A.Flows.end() && At->second.Confirmed)
+    Answer = Holding::Yes;
+  if (gone(C.A, C.Now))
+    Answer = Holding::No;
+  sendToEntry(C, Entry, TunnelKind::Located, Answer, encodeFlowKey(Flow));
+}
+
+void onReturned(Context &C, absl::Span<const std::uint8_t> Raw) {
+  ++C.A.Counters.ReturnedByUpstream;
+  const auto Decoded = C.A.Options.Codec.Decode(Raw, Direction::FromCaller);
+  if (!Decoded) {
+    ++C.A.Counters.Malformed;
+    return;
+  }
+  C.A.Flows.erase(Decoded->Flow);
+  const auto Entry = entryOf(C.A, Decoded->Tag);
+  if (!Entry) {
+    note(C, "returned_dropped", Decoded->Flow, "sent by an earlier run");
+    return;
+  }
+  Bytes Copy(Raw.begin(), Raw.end());
+  C.A.Options.Codec.ClearMarks(absl::MakeSpan(Copy));
+  sendBack(C, *Entry, Holding::No, Copy);
+}
+
+void observeResponse(AgentFlows &A, AgentFlow &F, TimePoint Now) {
+  if (!F.RequestAt)
+    return;
+  const std::chrono::duration<double, std::micro> Took = Now - *F.RequestAt;
+  A.ResponseTime += ResponseTimeGain * (Took - A.ResponseTime);
+  add(A.ResponseTimes, Took);
+  F.RequestAt.reset();
+}
+
+void cleanUp(AgentFlows &A, TimePoint Now) {
+  absl::erase_if(A.Flows, [Now](const auto &Item) {
+    return Now - Item.second.LastSeen >= AgentFlowForgotten;
+  });
+  absl::erase_if(A.Subscribers,
+                 [Now](const auto &Item) { return Now >= Item.second; });
+}
+
+} // namespace
+
+AnnounceOutcome announce(AgentFlows &A, const UpstreamAnnounced &Value,
+                         TimePoint Now) {
+  ++A.Counters.Announcements;
+  if (A.Upstream) {
+    const UpstreamAnnounced &Held = *A.Upstream;
+    const bool Older = Value.StartedAtMs < Held.StartedAtMs ||
+                       (Value.StartedAtMs == Held.StartedAtMs &&
+                        Value.Name == Held.Name && Value.Number < Held.Number);
+    if (Older) {
+      ++A.Counters.AnnouncementsOutdated;
+      return AnnounceOutcome::Outdated;
+    }
+    // A new start holds no flow of the one before.
+    if (Value.StartedAtMs != Held.StartedAtMs || Value.Name != Held.Name) {
+      A.Flows.clear();
+      A.UnansweredSince.reset();
+    }
+  }
+  A.Upstream = Value;
+  A.Withdrawn = false;
+  A.AnnouncedAt = A.UpstreamHeardAt = Now;
+  A.ReportDue = TimePoint{};
+  return AnnounceOutcome::Taken;
+}
+
+AnnounceOutcome withdraw(AgentFlows &A, const std::string &Name) {
+  if (!A.Upstream || A.Upstream->Name != Name)
+    return AnnounceOutcome::Outdated;
+  A.Upstream->State = UpstreamState::Unknown;
+  A.Withdrawn = true;
+  A.ReportDue = TimePoint{};
+  return AnnounceOutcome::Taken;
+}
+
+void prepareStop(AgentFlows &A) {
+  A.Stopping = true;
+  A.ReportDue = TimePoint{};
+}
+
+bool takesNewFlows(const AgentFlows &A, std::uint32_t ServiceTag,
+                   TimePoint Now) {
+  return !A.Stopping && leased(A, Now) &&
+         A.Upstream->State == UpstreamState::Ready &&
+         serviceTag(A.Upstream->Service) == ServiceTag;
+}
+
+void onTunnel(AgentFlows &A, const Endpoint &From,
+              absl::Span<const std::uint8_t> Datagram, TimePoint Now,
+              AgentEffects &Out) {
+  Context C{A, Now, Out};
+  const auto Decoded = decodeTunnel(Datagram);
+  if (!Decoded) {
+    ++A.Counters.Malformed;
+    return;
+  }
+  switch (Decoded->Header.Kind) {
+  case TunnelKind::Forward:
+    return onForward(C, From, Decoded->Header, Decoded->Payload);
+  case TunnelKind::Locate:
+    if (const auto Flow = decodeFlowKey(Decoded->Payload))
+      return onLocate(C, From, *Flow);
+    break;
+  case TunnelKind::Subscribe: {
+    const auto [At, New] = A.Subscribers.try_emplace(From);
+    At->second = Now + SubscriptionTime;
+    if (New)
+      A.ReportDue = TimePoint{};
+    return;
+  }
+  default:
+    break;
+  }
+  ++A.Counters.Malformed;
+}
+
+void onUpstreamPacket(AgentFlows &A, absl::Span<const std::uint8_t> Raw,
+                      TimePoint Now, AgentEffects &Out) {
+  Context C{A, Now, Out};
+  const auto Decoded = A.Options.Codec.Decode(Raw, Direction::FromUpstream);
+  if (!Decoded) {
+    ++A.Counters.Malformed;
+    return;
+  }
+  A.UnansweredSince.reset();
+  if (Decoded->Returned)
+    return onReturned(C, Raw);
+  const Packet &P = *Decoded;
+  ++A.Counters.ToCallers;
+  C.Out.emplace_back(ToCaller{P.Flow.Caller, Bytes(Raw.begin(), Raw.end())});
+  const auto [At, New] = A.Flows.try_emplace(P.Flow);
+  AgentFlow &F = At->second;
+  F.LastSeen = Now;
+  if (P.DataBytes != 0)
+    observeResponse(A, F, Now);
+  F.Ended = F.Ended || P.Finishes || P.Resets;
+  const bool Established = F.Confirmed;
+  if (!Established && !P.Opens && F.Entry != Endpoint{})
+    sendToEntry(C, F.Entry, TunnelKind::Located, Holding::Yes,
+                encodeFlowKey(P.Flow));
+  F.Confirmed = true;
+  // Only the upstream that holds a flow answers on it: a sign of life.
+  if (Established && A.Upstream && P.DataBytes != 0)
+    A.UpstreamHeardAt = Now;
+}
+
+void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out) {
+  Context C{A, Now, Out};
+  if (Now >= A.CleanUpDue) {
+    A.CleanUpDue = Now + std::chrono::seconds(1);
+    cleanUp(A, Now);
+  }
+  if (Now < A.ReportDue || A.Subscribers.empty())
+    return;
+  A.ReportDue = Now + ReportInterval;
+  LoadReport R = report(A, Now);
+  R.Number = ++A.ReportNumber;
+  const Bytes Payload = encodeLoadReport(R);
+  for (const auto &[Entry, Until] : A.Subscribers)
+    if (Now < Until)
+      sendToEntry(C, Entry, TunnelKind::Load, Holding::No, Payload);
+}
+
+LoadReport report(const AgentFlows &A, TimePoint Now) {
+  LoadReport R;
+  R.RunId = A.Options.RunId;
+  R.Number = A.ReportNumber;
+  R.DataCentre = A.Options.DataCentre;
+  if (A.Upstream) {
+    const UpstreamAnnounced &U = *A.Upstream;
+    R.Service = U.Service;
+    R.UpstreamName = U.Name;
+    const bool Serves = leased(A, Now) && !A.Stopping;
+    R.State = Serves ? U.State : UpstreamState::Unknown;
+    R.Slots = U.Slots;
+    const auto Since = duration_cast<milliseconds>(Now - A.AnnouncedAt);
+    R.ColdRemaining = std::max(milliseconds{0}, U.ColdRemaining - Since);
+  }
+  for (const auto &[Key, F] : A.Flows) {
+    if (F.Ended || Now - F.LastSeen >= FlowActiveWindow)
+      continue;
+    ++R.ActiveFlows;
+    R.Outstanding += F.RequestAt ? 1 : 0;
+  }
+  if (A.UnansweredSince)
+    R.Silent = duration_cast<milliseconds>(Now - *A.UnansweredSince);
+  R.ResponseTime = duration_cast<microseconds>(A.ResponseTime);
+  return R;
+}
+
+} // namespace jasminearch::flow
--- /dev/null
+++ b/src/flow/agent_loop.cpp
@@ -0,0 +1,175 @@
+#include "jasminearch/flow/agent_loop.h"
+#include "jasminearch/flow/detail/traffic_support.h"
+#include "jasminearch/log.h"
+#include "jasminearch/metrics_text.h"
+#include "jasminearch/net/datagram_batch.h"
+#include <poll.h>
+#include <utility>
+
+namespace jasminearch::flow {
+
+namespace {
+
+using detail::DecisionLog;
+using detail::send;
+
+struct Batches {
+  net::ReceiveBatch In;
+  net::SendBatch FromTunnel;
+  net::SendBatch ToUpstream;
+};
+
+Batches &batches() {
+  thread_local Batches Own;
+  return Own;
+}
+
+void write(DecisionLog &Log, const AgentDecision &D, TimePoint Now) {
+  if (!Log.allow(false, Now))
+    return;
+  logEvent(LogLevel::Info, D.Event,
+           {{"flow", toString(D.Flow)},
+            {"reason", std::string(D.Reason)},
+            {"announcement", D.AnnouncementNumber},
+            {"announcement_age_ms", std::int64_t{D.AnnouncementAge.count()}}});
+}
+
+std::string metricsText(const AgentFlows &A, TimePoint Now) {
+  const AgentCounters &C = A.Counters;
+  const LoadReport R = report(A, Now);
+  MetricsText Text("jasminearch_agent_");
+  Text.counter("delivered_total", C.Delivered);
+  Text.counter("to_callers_total", C.ToCallers);
+  Text.counter("openings_delivered_total", C.OpeningsDelivered);
+  Text.counter("openings_declined_total", C.OpeningsDeclined);
+  Text.counter("returned_by_upstream_total", C.ReturnedByUpstream);
+  Text.counter("not_held_total", C.NotHeld);
+  Text.counter("malformed_total", C.Malformed);
+  Text.counter("announcements_total", C.Announcements);
+  Text.counter("announcements_outdated_total", C.AnnouncementsOutdated);
+  Text.gauge("active_flows", R.ActiveFlows);
+  Text.gauge("outstanding", R.Outstanding);
+  Text.gauge("upstream_state", static_cast<std::uint64_t>(R.State));
+  Text.histogram("response_seconds", A.ResponseTimes);
+  return Text.take();
+}
+
+} // namespace
+
+AgentLoop::AgentLoop(AgentLoopOptions Given, const Clock &Time)
+    : Options(std::move(Given)), Time(Time) {
+  Flows.Options = Options.Agent;
+}
+
+Expected<std::unique_ptr<AgentLoop>> AgentLoop::open(AgentLoopOptions Options,
+                                                     const Clock &Time) {
+  std::unique_ptr<AgentLoop> Loop(new AgentLoop(std::move(Options), Time));
+  auto Tunnel = net::bindUdp(Loop->Options.Tunnel, {});
+  if (!Tunnel)
+    return tl::unexpected(Tunnel.error());
+  auto Outbound = net::bindUdp(Loop->Options.Outbound, {});
+  if (!Outbound)
+    return tl::unexpected(Outbound.error());
+  Loop->Tunnel = std::move(*Tunnel);
+  Loop->Outbound = std::move(*Outbound);
+  return Loop;
+}
+
+void AgentLoop::drain(const net::UdpSocket &Socket, bool FromUpstream) {
+  net::ReceiveBatch &In = batches().In;
+  const std::size_t Count = In.receive(Socket);
+  const TimePoint Now = Time.now();
+  for (std::size_t I = 0; I < Count; ++I) {
+    if (FromUpstream)
+      onUpstreamPacket(Flows, In.datagram(I), Now, Effects);
+    else
+      onTunnel(Flows, In.from(I), In.datagram(I), Now, Effects);
+  }
+}
+
+void AgentLoop::carryOut() {
+  static DecisionLog Log;
+  Batches &B = batches();
+  const TimePoint Now = Time.now();
+  for (AgentEffect &Effect : Effects) {
+    if (const auto *U = std::get_if<ToUpstream>(&Effect))
+      send(B.ToUpstream, Outbound, U->Raw, Options.Upstream);
+    else if (const auto *P = std::get_if<ToCaller>(&Effect))
+      send(B.FromTunnel, Tunnel, P->Raw,
+           {P->Caller.Address, Options.CallerPort});
+    else if (const auto *E = std::get_if<ToEntry>(&Effect))
+      send(B.FromTunnel, Tunnel, E->Datagram, E->To);
+    else if (const auto *D = std::get_if<AgentDecision>(&Effect))
+      write(Log, *D, Now);
+  }
+  Effects.clear();
+  B.ToUpstream.flush(Outbound);
+  B.FromTunnel.flush(Tunnel);
+}
+
+void AgentLoop::run() {
+  TimePoint TickDue{};
+  while (!Stopping) {
+    pollfd Waits[] = {{Tunnel.descriptor(), POLLIN, 0},
+                      {Outbound.descriptor(), POLLIN, 0},
+                      {Mail.descriptor(), POLLIN, 0}};
+    poll(Waits, std::size(Waits), detail::TickMilliseconds);
+    if (Waits[2].revents != 0)
+      Mail.run();
+    if (Waits[1].revents != 0)
+      drain(Outbound, true);
+    if (Waits[0].revents != 0)
+      drain(Tunnel, false);
+    const TimePoint Now = Time.now();
+    if (Now >= TickDue) {
+      TickDue = Now + std::chrono::milliseconds(detail::TickMilliseconds);
+      tick(Flows, Now, Effects);
+    }
+    carryOut();
+  }
+}
+
+void AgentLoop::stop() {
+  Mail.post([this] { Stopping = true; });
+}
+
+void AgentLoop::prepareStop() {
+  Mail.post([this] { flow::prepareStop(Flows); });
+}
+
+void AgentLoop::announce(UpstreamAnnounced Value,
+                         std::function<void(AnnounceOutcome)> Done) {
+  Mail.post([this, Value = std::move(Value), Done = std::move(Done)] {
+    const auto Before = Flows.Upstream;
+    const AnnounceOutcome Outcome = flow::announce(Flows, Value, Time.now());
+    const bool Changed = !Before || Before->Name != Value.Name ||
+                         Before->State != Value.State ||
+                         Before->StartedAtMs != Value.StartedAtMs;
+    if (Changed || Outcome == AnnounceOutcome::Outdated)
+      logEvent(LogLevel::Info, "upstream_announced",
+               {{"upstream", Value.Name},
+                {"service", Value.Service},
+                {"state", static_cast<std::uint64_t>(Value.State)},
+                {"number", Value.Number},
+                {"started_at_ms", Value.StartedAtMs},
+                {"taken", Outcome == AnnounceOutcome::Taken}});
+    Done(Outcome);
+  });
+}
+
+void AgentLoop::withdraw(std::string Name,
+                         std::function<void(AnnounceOutcome)> Done) {
+  Mail.post([this, Name = std::move(Name), Done = std::move(Done)] {
+    const AnnounceOutcome Outcome = flow::withdraw(Flows, Name);
+    logEvent(
+        LogLevel::Info, "upstream_withdrawn",
+        {{"upstream", Name}, {"taken", Outcome == AnnounceOutcome::Taken}});
+    Done(Outcome);
+  });
+}
+
+std::string AgentLoop::metrics() {
+  return detail::ask(Mail, [this] { return metricsText(Flows, Time.now()); });
+}
+
+} // namespace jasminearch::flow
--- /dev/null
+++ b/src/flow/entry_flows.cpp
@@ -0,0 +1,420 @@
+#include "jasminearch/flow/entry_flows.h"
+#include <absl/hash/hash.h>
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace jasminearch::flow {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// What every step needs.
+struct Context {
+  EntryFlows &E;
+  TimePoint Now;
+  EntryEffects &Out;
+};
+
+/// The same on every entry host, so that copies of an opening packet that take
+/// different ways choose the same service.
+std::uint64_t stableHash(const FlowKey &Flow) {
+  const Bytes Key = encodeFlowKey(Flow);
+  return XXH3_64bits(Key.data(), Key.size());
+}
+
+bool contains(const std::vector<Endpoint> &All, const Endpoint &One) {
+  return std::find(All.begin(), All.end(), One) != All.end();
+}
+
+std::uint64_t versionOf(const EntryFlows &E) {
+  return E.Routes ? E.Routes->table().Version : 0;
+}
+
+void note(Context &C, std::string_view Event, const FlowKey &Flow,
+          std::string_view Reason, const Endpoint &Agent = {}) {
+  FlowDecision D{Event, Flow, Reason, Agent, versionOf(C.E), {}, 0, 0};
+  const auto At = C.E.Agents.find(Agent);
+  if (At != C.E.Agents.end() && At->second.Report) {
+    D.ReportAge = duration_cast<milliseconds>(C.Now - At->second.ReportedAt);
+    D.Outstanding = At->second.Report->Outstanding;
+    D.ActiveFlows = At->second.Report->ActiveFlows;
+  }
+  C.Out.emplace_back(D);
+}
+
+void reset(Context &C, const FlowKey &Flow, std::uint32_t Sequence) {
+  C.Out.emplace_back(SendReset{{Flow, Sequence}});
+}
+
+void forward(Context &C, const Endpoint &Agent,
+             absl::Span<const std::uint8_t> Raw, std::uint32_t ServiceTag = 0) {
+  C.Out.emplace_back(SendTunnel{
+      Agent,
+      encodeTunnel({TunnelKind::Forward, Holding::No, ServiceTag}, Raw)});
+}
+
+void ask(Context &C, const Endpoint &Agent, TunnelKind Kind,
+         const Bytes &Payload) {
+  C.Out.emplace_back(
+      SendTunnel{Agent, encodeTunnel({Kind, Holding::No, 0}, Payload)});
+}
+
+std::vector<Candidate> candidates(const Context &C) {
+  std::vector<Candidate> All;
+  All.reserve(C.E.Agents.size());
+  for (const auto &[At, View] : C.E.Agents)
+    if (View.Report)
+      All.push_back({At, &*View.Report,
+                     duration_cast<milliseconds>(C.Now - View.ReportedAt),
+                     View.PlacedSince});
+  return All;
+}
+
+/// \returns the agent for a new flow of \p Of and the service that it is for.
+/// Another service of the route is used only if the one that the weights name
+/// has no upstream.
+std::optional<std::pair<Endpoint, std::string>>
+choose(const Context &C, const Route &Of, const FlowKey &Flow,
+       const std::vector<Endpoint> &Excluded) {
+  const std::uint64_t Hash = stableHash(Flow);
+  const std::vector<Candidate> All = candidates(C);
+  std::vector<const std::string *> Services = {serviceFor(Of, Hash)};
+  for (const RouteTarget &T : Of.Targets)
+    if (T.Weight > 0 && Services.front() && T.Service != *Services.front())
+      Services.push_back(&T.Service);
+  for (const std::string *Service : Services) {
+    if (!Service)
+      continue;
+    const auto At = place(All, *Service, Of.Kind, Hash, Excluded);
+    if (At)
+      return std::pair(All[*At].Agent, *Service);
+  }
+  return std::nullopt;
+}
+
+/// Offers an opening packet to the best upstream that hasn't declined it, or
+/// refuses the flow.
+void offer(Context &C, const Packet &P, absl::Span<const std::uint8_t> Raw,
+           const Route &Of, std::vector<Endpoint> Excluded) {
+  const auto Chosen = Excluded.size() >= MaxOffers
+                          ? std::nullopt
+                          : choose(C, Of, P.Flow, Excluded);
+  if (!Chosen) {
+    ++C.E.Counters.Refused;
+    note(C, "flow_refused", P.Flow,
+         Excluded.empty() ? "no upstream is ready" : "every upstream declined");
+    C.E.Flows.erase(P.Flow);
+    return reset(C, P.Flow, 0);
+  }
+  const auto &[Agent, Service] = *Chosen;
+  note(C, "flow_placed", P.Flow, Service, Agent);
+  ++C.E.Agents[Agent].PlacedSince;
+  OwnedFlow &F = C.E.Flows[P.Flow];
+  F = OwnedFlow{Agent, C.Now, false, std::move(Excluded)};
+  forward(C, Agent, Raw, serviceTag(Service));
+}
+
+bool alive(const Context &C, const Endpoint &Agent) {
+  const auto At = C.E.Agents.find(Agent);
+  return At != C.E.Agents.end() && At->second.Report &&
+         C.Now - At->second.ReportedAt < ReportFresh / 2;
+}
+
+void onOpening(Context &C, const Packet &P, absl::Span<const std::uint8_t> Raw,
+               const Route &Of) {
+  const auto At = C.E.Flows.find(P.Flow);
+  if (At == C.E.Flows.end()) {
+    if (C.E.Flows.size() >= MaxFlows)
+      return reset(C, P.Flow, 0);
+    ++C.E.Counters.Opened;
+    return offer(C, P, Raw, Of, {});
+  }
+  OwnedFlow &F = At->second;
+  F.LastSeen = C.Now;
+  if (F.Established)
+    return forward(C, F.Agent, Raw);
+  ++C.E.Counters.OpenedAgain;
+  // The first copy most likely makes up for a lost packet; after that the
+  // upstream doesn't answer, and another one is tried.
+  std::vector<Endpoint> Excluded = F.Excluded;
+  if (P.Acknowledged > 1 || !alive(C, F.Agent))
+    Excluded.push_back(F.Agent);
+  offer(C, P, Raw, Of, std::move(Excluded));
+}
+
+/// Gives up a search whose flow no upstream holds.
+void foundNowhere(Context &C, const FlowKey &Flow, const Search &S) {
+  ++C.E.Counters.FoundNowhere;
+  note(C, "flow_lost", Flow, "no upstream holds it");
+  if (!S.ResetSeen)
+    reset(C, Flow, S.Acknowledged);
+  C.E.Searches.erase(Flow);
+}
+
+/// Takes the next step of a search once all agents have answered.
+void advance(Context &C, const FlowKey &Flow) {
+  const auto At = C.E.Searches.find(Flow);
+  if (At == C.E.Searches.end() || !At->second.Waiting.empty())
+    return;
+  Search &S = At->second;
+  if (S.Unsure.empty()) {
+    if (S.Tried.empty())
+      foundNowhere(C, Flow, S);
+    return;
+  }
+  S.Tried = std::exchange(S.Unsure, {});
+  for (const Endpoint &Agent : S.Tried)
+    for (const Bytes &Raw : S.Held)
+      forward(C, Agent, Raw);
+}
+
+void hold(Search &S, const Packet &P, absl::Span<const std::uint8_t> Raw) {
+  S.Acknowledged = P.Acknowledged;
+  S.ResetSeen = S.ResetSeen || P.Resets;
+  if (S.Held.size() < MaxHeldPackets)
+    S.Held.emplace_back(Raw.begin(), Raw.end());
+}
+
+void startSearch(Context &C, const Packet &P,
+                 absl::Span<const std::uint8_t> Raw,
+                 const std::vector<Endpoint> &Excluded) {
+  if (C.E.Searches.size() >= MaxSearches) {
+    ++C.E.Counters.SearchOverflow;
+    return;
+  }
+  ++C.E.Counters.Searches;
+  Search &S = C.E.Searches[P.Flow];
+  S.Started = C.Now;
+  hold(S, P, Raw);
+  const Bytes Key = encodeFlowKey(P.Flow);
+  for (const auto &[Agent, View] : C.E.Agents) {
+    const TimePoint Heard = std::max(View.ReportedAt, View.Since);
+    if (contains(Excluded, Agent) || C.Now - Heard > AgentGone)
+      continue;
+    S.Waiting.push_back(Agent);
+    ask(C, Agent, TunnelKind::Locate, Key);
+  }
+  advance(C, P.Flow);
+}
+
+/// \returns whether \p Agent has been silent for so long that it counts as
+/// gone, or isn't known any more.
+bool gone(const Context &C, const Endpoint &Agent) {
+  const auto At = C.E.Agents.find(Agent);
+  return At == C.E.Agents.end() ||
+         C.Now - std::max(At->second.ReportedAt, At->second.Since) > AgentGone;
+}
+
+void onEstablished(Context &C, const Packet &P,
+                   absl::Span<const std::uint8_t> Raw) {
+  const auto Owned = C.E.Flows.find(P.Flow);
+  if (Owned != C.E.Flows.end() && gone(C, Owned->second.Agent))
+    C.E.Flows.erase(Owned);
+  if (const auto At = C.E.Flows.find(P.Flow); At != C.E.Flows.end()) {
+    At->second.LastSeen = C.Now;
+    At->second.Established = true;
+    return forward(C, At->second.Agent, Raw);
+  }
+  if (const auto At = C.E.Searches.find(P.Flow); At != C.E.Searches.end())
+    return hold(At->second, P, Raw);
+  startSearch(C, P, Raw, {});
+}
+
+void found(Context &C, const FlowKey &Flow, const Endpoint &Agent) {
+  const auto At = C.E.Searches.find(Flow);
+  if (At == C.E.Searches.end())
+    return;
+  ++C.E.Counters.Found;
+  note(C, "flow_found", Flow, "an agent holds it", Agent);
+  C.E.Flows[Flow] = OwnedFlow{Agent, C.Now, true, {}};
+  // Packets that were tried there have arrived already.
+  if (!contains(At->second.Tried, Agent))
+    for (const Bytes &Raw : At->second.Held)
+      forward(C, Agent, Raw);
+  C.E.Searches.erase(At);
+}
+
+void onLocated(Context &C, const Endpoint &Agent, Holding Answer,
+               const FlowKey &Flow) {
+  const auto At = C.E.Searches.find(Flow);
+  if (At == C.E.Searches.end())
+    return;
+  if (Answer == Holding::Yes)
+    return found(C, Flow, Agent);
+  Search &S = At->second;
+  if (std::erase(S.Waiting, Agent) != 0 && Answer == Holding::Unsure)
+    S.Unsure.push_back(Agent);
+  advance(C, Flow);
+}
+
+/// An upstream returned a packet: a new flow goes to another upstream, and an
+/// established one is looked for.
+void onReturned(Context &C, const Endpoint &Agent, Holding Reason,
+                absl::Span<const std::uint8_t> Raw) {
+  const auto Decoded = C.E.Codec.Decode(Raw, Direction::FromCaller);
+  if (!Decoded) {
+    ++C.E.Counters.Malformed;
+    return;
+  }
+  ++C.E.Counters.Returned;
+  const Packet &P = *Decoded;
+  if (const auto At = C.E.Searches.find(P.Flow); At != C.E.Searches.end()) {
+    Search &S = At->second;
+    std::erase(S.Waiting, Agent);
+    std::erase(S.Unsure, Agent);
+    const bool LastTried = std::erase(S.Tried, Agent) != 0 && S.Tried.empty();
+    return LastTried && S.Waiting.empty() && S.Unsure.empty()
+               ? foundNowhere(C, P.Flow, S)
+               : advance(C, P.Flow);
+  }
+  const auto At = C.E.Flows.find(P.Flow);
+  if (At == C.E.Flows.end() || At->second.Agent != Agent)
+    return;
+  std::vector<Endpoint> Excluded = At->second.Excluded;
+  Excluded.push_back(Agent);
+  const Route *Of = C.E.Routes ? C.E.Routes->find(P.Flow.Service) : nullptr;
+  if (P.Opens && Of) {
+    note(C, "offer_declined", P.Flow,
+         Reason == Holding::NotReady ? "not ready" : "full", Agent);
+    return offer(C, P, Raw, *Of, std::move(Excluded));
+  }
+  C.E.Flows.erase(At);
+  if (!P.Opens)
+    startSearch(C, P, Raw, {Agent});
+}
+
+void onLoad(Context &C, const Endpoint &From,
+            absl::Span<const std::uint8_t> Payload) {
+  auto Report = decodeLoadReport(Payload.data(), Payload.size());
+  if (!Report) {
+    ++C.E.Counters.Malformed;
+    return;
+  }
+  AgentView &View = C.E.Agents[From];
+  if (View.Report && View.Report->RunId == Report->RunId &&
+      View.Report->Number >= Report->Number)
+    return;
+  if (View.Since == TimePoint{})
+    View.Since = C.Now;
+  View.Report = std::move(*Report);
+  View.ReportedAt = View.KnownAt = C.Now;
+  View.PlacedSince = 0;
+}
+
+void expireSearches(Context &C) {
+  std::vector<FlowKey> Expired;
+  for (const auto &[Flow, S] : C.E.Searches)
+    if (C.Now - S.Started >= SearchLimit)
+      Expired.push_back(Flow);
+  for (const FlowKey &Flow : Expired) {
+    ++C.E.Counters.SearchExpired;
+    note(C, "search_expired", Flow, "not all agents answered in time");
+    C.E.Searches.erase(Flow);
+  }
+}
+
+void cleanUp(Context &C) {
+  absl::erase_if(C.E.Flows, [&](const auto &Item) {
+    return C.Now - Item.second.LastSeen >= FlowForgotten;
+  });
+  absl::erase_if(C.E.Agents, [&](const auto &Item) {
+    return C.Now - Item.second.KnownAt >= AgentForgotten;
+  });
+}
+
+} // namespace
+
+void setRoutes(EntryFlows &E, std::shared_ptr<const RouteIndex> Routes) {
+  if (!E.Routes || Routes->table().Version > E.Routes->table().Version)
+    E.Routes = std::move(Routes);
+}
+
+void listAgents(EntryFlows &E, const std::vector<Endpoint> &Listed,
+                TimePoint Now, EntryEffects &Out) {
+  Context C{E, Now, Out};
+  for (const Endpoint &Agent : Listed) {
+    AgentView &View = E.Agents[Agent];
+    View.KnownAt = Now;
+    if (View.Since != TimePoint{})
+      continue;
+    View.Since = Now;
+    ask(C, Agent, TunnelKind::Subscribe, {});
+  }
+}
+
+void onCallerPacket(EntryFlows &E, absl::Span<const std::uint8_t> Raw,
+                    TimePoint Now, EntryEffects &Out) {
+  Context C{E, Now, Out};
+  ++E.Counters.PacketsFromCallers;
+  const auto Decoded = E.Codec.Decode(Raw, Direction::FromCaller);
+  if (!Decoded) {
+    ++E.Counters.Malformed;
+    return;
+  }
+  if (!E.Routes) {
+    ++E.Counters.WithoutRoutes;
+    return;
+  }
+  const Packet &P = *Decoded;
+  const Route *Of = E.Routes->find(P.Flow.Service);
+  if (!Of) {
+    ++E.Counters.UnknownRoute;
+    note(C, "flow_refused", P.Flow, "no route has this address");
+    E.Flows.erase(P.Flow);
+    if (!P.Resets)
+      reset(C, P.Flow, P.Opens ? 0 : P.Acknowledged);
+    return;
+  }
+  if (P.Opens)
+    return onOpening(C, P, Raw, *Of);
+  onEstablished(C, P, Raw);
+}
+
+void onTunnel(EntryFlows &E, const Endpoint &From,
+              absl::Span<const std::uint8_t> Datagram, TimePoint Now,
+              EntryEffects &Out) {
+  Context C{E, Now, Out};
+  const auto Decoded = decodeTunnel(Datagram);
+  if (!Decoded) {
+    ++E.Counters.Malformed;
+    return;
+  }
+  const TunnelHeader &Header = Decoded->Header;
+  if (Header.Kind == TunnelKind::Load)
+    return onLoad(C, From, Decoded->Payload);
+  if (Header.Kind == TunnelKind::Returned)
+    return onReturned(C, From, Header.Detail, Decoded->Payload);
+  const auto Flow = decodeFlowKey(Decoded->Payload);
+  if (Header.Kind != TunnelKind::Located || !Flow) {
+    ++E.Counters.Malformed;
+    return;
+  }
+  onLocated(C, From, Header.Detail, *Flow);
+}
+
+void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out) {
+  Context C{E, Now, Out};
+  expireSearches(C);
+  if (Now >= E.SubscribeDue) {
+    E.SubscribeDue = Now + SubscribeInterval;
+    for (const auto &[Agent, View] : E.Agents)
+      ask(C, Agent, TunnelKind::Subscribe, {});
+  }
+  if (Now >= E.CleanUpDue) {
+    E.CleanUpDue = Now + std::chrono::seconds(1);
+    cleanUp(C);
+  }
+}
+
+bool readyToPlace(const EntryFlows &E, TimePoint Now, milliseconds Patience) {
+  if (!E.Routes)
+    return false;
+  return std::all_of(E.Agents.begin(), E.Agents.end(), [&](const auto &Item) {
+    return Item.second.Report || Now - Item.second.Since >= Patience;
+  });
+}
+
+} // namespace jasminearch::flow
--- /dev/null
+++ b/src/flow/load_report.cpp
@@ -0,0 +1,47 @@
+#include "jasminearch/flow/load_report.h"
+#include <nlohmann/json.hpp>
+
+namespace jasminearch::flow {
+
+using nlohmann::json;
+
+Bytes encodeLoadReport(const LoadReport &R) {
+  return json::to_cbor(
+      json::array({R.RunId, R.Number, R.Service, R.UpstreamName, R.DataCentre,
+                   static_cast<unsigned>(R.State), R.Slots,
+                   R.ColdRemaining.count(), R.ActiveFlows, R.Outstanding,
+                   R.Silent.count(), R.ResponseTime.count()}));
+}
+
+Expected<LoadReport> decodeLoadReport(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  constexpr std::size_t Fields = 12;
+  try {
+    const json J = json::from_cbor(Data, Data + Size);
+    if (!J.is_array() || J.size() != Fields)
+      return fail(ErrorCode::MessageMalformed,
+                  "a load report is an array of 12 fields");
+    LoadReport R;
+    std::size_t I = 0;
+    R.RunId = J.at(I++).get<std::uint64_t>();
+    R.Number = J.at(I++).get<std::uint64_t>();
+    R.Service = J.at(I++).get<std::string>();
+    R.UpstreamName = J.at(I++).get<std::string>();
+    R.DataCentre = J.at(I++).get<std::string>();
+    const auto State = J.at(I++).get<unsigned>();
+    if (State > static_cast<unsigned>(UpstreamState::Draining))
+      return fail(ErrorCode::MessageMalformed, "unknown upstream state");
+    R.State = static_cast<UpstreamState>(State);
+    R.Slots = J.at(I++).get<std::uint32_t>();
+    R.ColdRemaining = std::chrono::milliseconds(J.at(I++).get<std::int64_t>());
+    R.ActiveFlows = J.at(I++).get<std::uint32_t>();
+    R.Outstanding = J.at(I++).get<std::uint32_t>();
+    R.Silent = std::chrono::milliseconds(J.at(I++).get<std::int64_t>());
+    R.ResponseTime = std::chrono::microseconds(J.at(I++).get<std::int64_t>());
+    return R;
+  } catch (const json::exception &E) {
+    return fail(ErrorCode::MessageMalformed, E.what());
+  }
+}
+
+} // namespace jasminearch::flow
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,7 +1,11 @@
 #include "jasminearch/log.h"
+#include <algorithm>
+#include <atomic>
 #include <ctime>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace jasminearch {
 
@@ -11,6 +15,7 @@
   std::string Program = "unknown";
   std::string Host;
   LogLevel Least = LogLevel::Info;
+  LogTarget Target = LogTarget::StandardError;
 };
 
 LogContext &context() {
@@ -63,11 +68,40 @@
   return Text;
 }
 
+/// Longest line. A pipe that polls as writable takes this much at once.
+constexpr std::size_t MaxLineBytes = 4096;
+
+/// Lines that standard output had no room for since the last one written.
+std::atomic<std::uint64_t> LinesLost{0};
+
+/// Writes lines to standard output without ever waiting for it.
+class StandardOutputSink final : public google::LogSink {
+public:
+  void send(google::LogSeverity, const char *, const char *, int,
+            const google::LogMessageTime &, const char *Message,
+            std::size_t Length) override {
+    pollfd Wait{STDOUT_FILENO, POLLOUT, 0};
+    if (poll(&Wait, 1, 0) != 1 || (Wait.revents & POLLOUT) == 0) {
+      ++LinesLost;
+      return;
+    }
+    std::string Line(Message, std::min(Length, MaxLineBytes - 1));
+    Line.push_back('\n');
+    if (write(STDOUT_FILENO, Line.data(), Line.size()) < 0)
+      ++LinesLost;
+  }
+};
+
+StandardOutputSink &standardOutput() {
+  static StandardOutputSink Sink;
+  return Sink;
+}
+
 } // namespace
 
 void startLog(const std::string &Program, const std::string &Host,
-              const std::string &Level) {
-  context() = LogContext{Program, Host, levelFromName(Level)};
+              const std::string &Level, LogTarget Target) {
+  context() = LogContext{Program, Host, levelFromName(Level), Target};
   FLAGS_logtostderr = true;
   FLAGS_log_prefix = false;
   if (!google::IsGoogleLoggingInitialized())
@@ -87,9 +121,18 @@
   for (const LogField &Field : Fields)
     std::visit([&](const auto &Value) { Line[std::string(Field.Key)] = Value; },
                Field.Value);
+  if (const std::uint64_t Lost = LinesLost.exchange(0); Lost != 0)
+    Line["lines_lost"] = Lost;
   // Bytes from outside may not be UTF-8; replacing them keeps the line valid.
-  google::LogMessage(__FILE__, __LINE__, severity(Level)).stream()
-      << Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  const std::string Text =
+      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (context().Target == LogTarget::StandardOutput)
+    google::LogMessage(__FILE__, __LINE__, severity(Level), &standardOutput(),
+                       /*also_send_to_log=*/false)
+            .stream()
+        << Text;
+  else
+    google::LogMessage(__FILE__, __LINE__, severity(Level)).stream() << Text;
 }
 
 void logError(std::string_view Event, const Error &Failure) {
