Let openings wait instead of refusing them, and recover faster from a power loss

Cause: after a loss of all hosts callers burnt their retries within 40 ms on refusals, entry hosts that had just started placed flows on the few agents they knew, flows of lost upstreams were searched at agents that had left, and daemons dialled hosts without power for 0.7 s. Change: an agent delivers openings only while its upstream has room and lets others wait as long as the caller does; a starting entry host keeps one packet a flow until it knows routes and agents; searches ask again; agents say when they leave; control hosts keep the list of agents on disk; heartbeats every 50 ms, elections after 250 to 500 ms.

--- a/include/jasminearch/consensus/node.h
+++ b/include/jasminearch/consensus/node.h
@@ -21,17 +21,17 @@
 namespace jasminearch::consensus {
 
 /// Time between a leader's messages to each peer.
-constexpr Duration HeartbeatInterval = std::chrono::milliseconds(100);
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(50);
 
 /// A follower waits at least this long for its leader before it campaigns, and
 /// for as long refuses votes to others.
-constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(400);
-constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds(800);
+constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(250);
+constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds(500);
 
 /// How long a quorum's confirmation lets the leader answer reads. Less than
 /// ElectionTimeoutMin by a margin for clocks that run at different rates, so
 /// that it ends before a quorum can elect another leader.
-constexpr Duration LeaseDuration = std::chrono::milliseconds(300);
+constexpr Duration LeaseDuration = std::chrono::milliseconds(190);
 
 /// A candidate that did not win tries again after a random part of this, with a
 /// new pre-vote. It is short because two hosts whose votes were split have both
--- a/include/jasminearch/fleet/control_node.h
+++ b/include/jasminearch/fleet/control_node.h
@@ -4,6 +4,7 @@
 #include "jasminearch/clock.h"
 #include "jasminearch/consensus/replicated_log.h"
 #include "jasminearch/error.h"
+#include "jasminearch/fleet/link_timing.h"
 #include "jasminearch/fleet/messages.h"
 #include "jasminearch/link/link.h"
 #include "jasminearch/types.h"
@@ -22,16 +23,6 @@
 /// How often tick() must be called.
 inline constexpr std::chrono::milliseconds ControlTick{20};
 
-/// Time between Status messages on a link.
-inline constexpr std::chrono::milliseconds StatusInterval{500};
-
-/// A link without messages for this long is replaced: three lost Status
-/// messages.
-inline constexpr std::chrono::milliseconds LinkSilent{1700};
-
-/// Pause before a failed link is opened again.
-inline constexpr std::chrono::milliseconds RedialPause{300};
-
 /// Agents that no control host has heard for this long are forgotten. Longer
 /// than an agent needs to find another control host.
 inline constexpr std::chrono::milliseconds AgentRecordLife{10'000};
@@ -39,11 +30,6 @@
 /// A control host that can't be reached and is no member is forgotten.
 inline constexpr std::chrono::milliseconds ControlHostLife{20'000};
 
-/// Routes are handed out only while a quorum has confirmed the leader within
-/// this time, so that a process that starts never gets an outdated version
-/// from a control host that was cut off.
-inline constexpr std::chrono::milliseconds QuorumFresh{900};
-
 /// A submission waits this long for a leader or its commit. Callers wait for a
 /// second.
 inline constexpr std::chrono::milliseconds SubmitPatience{800};
@@ -107,6 +93,17 @@
 using ReadResult =
     std::variant<CurrentRoutes, NoRoutes, LedElsewhere, Unavailable>;
 
+/// Keeps the list of agents over a restart of this host, so that entry hosts
+/// that start at the same time learn all agents at once.
+struct AgentStore {
+  std::function<Expected<Bytes>()> Load;
+  std::function<Expected<void>(const Bytes &)> Save;
+};
+
+/// \returns a store in a file of \p Folder, synced. A list that is lost or old
+/// only delays what agents announce anyway.
+AgentStore makeAgentStore(const std::string &Folder);
+
 /// Opens the replicated log; replaced in tests.
 using LogOpener =
     std::function<Expected<std::unique_ptr<consensus::ReplicatedLog>>(
@@ -115,7 +112,8 @@
 /// A control host. All members are called on the hub's thread.
 class ControlNode {
 public:
-  ControlNode(ControlNodeOptions Options, const Clock &Time, LogOpener Open);
+  ControlNode(ControlNodeOptions Options, const Clock &Time, LogOpener Open,
+              AgentStore Store);
 
   /// The hub that carries the links; set before anything else is called.
   void setHub(link::LinkHub *Hub) { this->Hub = Hub; }
@@ -185,7 +183,10 @@
   void greet(link::LinkId Id, Served &L, const Hello &Value);
   void learnControlHost(const std::string &Host);
   void learnAgent(const Endpoint &Tunnel, TimePoint HeardAt);
-  void broadcastAgent(const AgentRecord &Record);
+  void forgetAgent(const Endpoint &Tunnel);
+  void broadcast(const Message &Value);
+  void loadAgents();
+  void saveAgents();
 
   void tickPeers(TimePoint Now);
   void dial(const std::string &Host, Peer &P, TimePoint Now);
@@ -213,6 +214,10 @@
   std::map<link::LinkId, std::string> PeerOfLink;
   std::map<link::LinkId, Served> Incoming;
   std::map<Endpoint, TimePoint> Directory;
+  /// When agents left, so that older news of them doesn't bring them back.
+  std::map<Endpoint, TimePoint> Departed;
+  AgentStore Store;
+  bool DirectoryChanged = false;
   std::optional<AcceptedRoutes> Current;
   Bytes CurrentEntry;
   std::vector<Waiting> Submissions;
--- a/include/jasminearch/fleet/fleet_client.h
+++ b/include/jasminearch/fleet/fleet_client.h
@@ -2,6 +2,7 @@
 #define JASMINEARCH_FLEET_FLEET_CLIENT_H
 
 #include "jasminearch/clock.h"
+#include "jasminearch/fleet/link_timing.h"
 #include "jasminearch/fleet/messages.h"
 #include "jasminearch/link/link.h"
 #include "jasminearch/types.h"
@@ -35,8 +36,10 @@
 struct FleetClientHandlers {
   /// Newer routes. Older ones never arrive.
   std::function<void(std::shared_ptr<const flow::RouteIndex>)> RoutesChanged;
-  /// Agents that a control host knows.
-  std::function<void(const std::vector<Endpoint> &)> AgentsListed;
+  /// Agents that a control host knows; the flag tells whether these are all.
+  std::function<void(const std::vector<Endpoint> &, bool)> AgentsListed;
+  /// An agent ended for good, after its upstream.
+  std::function<void(const Endpoint &)> AgentLeft;
 };
 
 /// A daemon's link to one control host at a time. All members are called on the
@@ -49,11 +52,14 @@
   link::LinkHandlers linkHandlers();
   void setHub(link::LinkHub *Hub) { this->Hub = Hub; }
 
-  /// Runs timers; call it at least every 100 ms.
+  /// Runs timers; call it at least every 50 ms.
   void tick();
 
   void setSeeds(std::vector<std::string> Seeds);
 
+  /// Tells the control hosts that this agent ends for good.
+  void leave();
+
   /// \returns whether a control host with a recent quorum has sent everything
   /// since this process started.
   bool current() const { return Routes && Listed && QuorumSeen; }
@@ -80,6 +86,7 @@
   std::string LinkedTo;
   bool Open = false;
   TimePoint DialDue{};
+  std::chrono::milliseconds Pause = RedialPause;
   TimePoint HeardAt{};
   TimePoint StatusDue{};
   /// Last time that the control host showed a recent quorum.
@@ -87,6 +94,7 @@
   std::shared_ptr<const flow::RouteIndex> Routes;
   bool Listed = false;
   bool QuorumSeen = false;
+  bool Leaving = false;
 };
 
 } // namespace jasminearch::fleet
--- a/include/jasminearch/fleet/messages.h
+++ b/include/jasminearch/fleet/messages.h
@@ -58,6 +58,13 @@
   auto operator<=>(const Agents &) const = default;
 };
 
+/// From an agent: its upstream is gone and it ends. Between control hosts and
+/// to entry hosts: the agent has left.
+struct Left {
+  Endpoint Tunnel;
+  auto operator<=>(const Left &) const = default;
+};
+
 /// A message of the replicated log.
 struct Consensus {
   Bytes Body;
@@ -71,7 +78,7 @@
 };
 
 using Message =
-    std::variant<Hello, Status, ControlHosts, Agents, Consensus, Routes>;
+    std::variant<Hello, Status, ControlHosts, Agents, Consensus, Routes, Left>;
 
 /// Encodes as a CBOR array: the message's number, then its fields.
 Bytes encode(const Message &Value);
--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -40,9 +41,30 @@
 inline constexpr std::chrono::milliseconds UpstreamGone{3000};
 inline constexpr std::chrono::milliseconds UnansweredGone{1000};
 
+/// Time without packets after which a request counts as given up. Callers
+/// retransmit within 1.6 s, and upstreams answer within seconds.
+inline constexpr std::chrono::milliseconds RequestForgotten{8000};
+
 /// Entry hosts that an agent tells apart at most.
 inline constexpr std::size_t MaxEntryTags = 0xFFFF;
 
+/// Requests in flight per slot up to which an upstream gets new flows at once.
+/// Beyond the slots requests wait in the upstream's own short queue, and beyond
+/// that it sheds them.
+inline constexpr std::uint32_t InFlightPerSlot = 3;
+
+/// Time that an opening may wait. The caller gives it up after 1.4 s. One that
+/// would wait longer is declined at once, so that the entry host can try
+/// another upstream.
+inline constexpr std::chrono::milliseconds OpeningPatience{1200};
+
+/// Response time that is assumed before the first response.
+inline constexpr std::chrono::milliseconds ResponseTimeGuess{50};
+
+/// Time for which a flow that has opened counts as in flight before its first
+/// request is seen: a round trip to the caller, who sends it at once.
+inline constexpr std::chrono::milliseconds FirstRequestWait{60};
+
 /// Weight of the newest response in ResponseTime.
 inline constexpr double ResponseTimeGain = 0.1;
 
@@ -88,11 +110,21 @@
   bool Ended = false;
 };
 
+/// An opening packet that waits for the upstream.
+struct WaitingOpening {
+  FlowKey Flow;
+  Endpoint Entry;
+  Bytes Raw;
+  TimePoint Since{};
+};
+
 struct AgentCounters {
   std::uint64_t Delivered = 0;
   std::uint64_t ToCallers = 0;
   std::uint64_t OpeningsDelivered = 0;
   std::uint64_t OpeningsDeclined = 0;
+  std::uint64_t OpeningsWaited = 0;
+  std::uint64_t OpeningsExpired = 0;
   std::uint64_t ReturnedByUpstream = 0;
   std::uint64_t NotHeld = 0;
   std::uint64_t Malformed = 0;
@@ -121,6 +153,12 @@
   TimePoint CleanUpDue{};
   /// Delivery of the first packet since the upstream last sent something.
   std::optional<TimePoint> UnansweredSince;
+  /// Opening packets in order of arrival.
+  std::deque<WaitingOpening> Waiting;
+  /// Flows with a request in flight, and recent openings whose first request is
+  /// expected; kept with Flows.
+  std::uint32_t InFlight = 0;
+  std::deque<TimePoint> RecentOpenings;
   std::chrono::duration<double, std::micro> ResponseTime{0};
   Histogram ResponseTimes;
   AgentCounters Counters;
@@ -177,6 +215,13 @@
 /// Runs timers; call it at least every 50 ms.
 void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out);
 
+/// \returns whether the upstream has room for another flow right away.
+bool hasRoom(const AgentFlows &A, TimePoint Now);
+
+/// \returns how long another opening would wait: by Little's law the upstream
+/// takes as many requests in one response time as it has in flight.
+std::chrono::milliseconds expectedWait(const AgentFlows &A);
+
 /// \returns the report as of \p Now.
 LoadReport report(const AgentFlows &A, TimePoint Now);
 
--- a/include/jasminearch/flow/agent_loop.h
+++ b/include/jasminearch/flow/agent_loop.h
@@ -42,6 +42,9 @@
   /// Takes no new flows from now on.
   void prepareStop();
 
+  /// \returns whether the upstream has said that it is gone.
+  bool withdrawn() const { return Withdrawn; }
+
   /// Hands over an announcement; \p Done is called on the traffic thread.
   void announce(UpstreamAnnounced Value,
                 std::function<void(AnnounceOutcome)> Done);
@@ -63,6 +66,7 @@
   AgentEffects Effects;
   Mailbox Mail;
   std::atomic<bool> Stopping{false};
+  std::atomic<bool> Withdrawn{false};
 };
 
 } // namespace jasminearch::flow
--- a/include/jasminearch/flow/detail/traffic_support.h
+++ b/include/jasminearch/flow/detail/traffic_support.h
@@ -19,10 +19,6 @@
 /// Longest wait of a traffic thread.
 inline constexpr int TickMilliseconds = 40;
 
-/// Time that a listed agent gets for its first report before an entry host is
-/// ready without it.
-inline constexpr std::chrono::milliseconds ReportPatience{600};
-
 /// Lines a second about flows that were placed, and about everything else. They
 /// bound what logging costs a host with a few percent of a core.
 inline constexpr unsigned PlacedLinesPerSecond = 10;
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -28,9 +28,13 @@
 /// Time between two Subscribe messages to an agent.
 inline constexpr std::chrono::milliseconds SubscribeInterval{400};
 
-/// Time that agents get to answer Locate. Callers retransmit after 200 ms, so
-/// a search that takes longer is repeated by the next copy anyway.
-inline constexpr std::chrono::milliseconds SearchLimit{180};
+/// Time between two Locate messages of one search to an agent that doesn't
+/// answer. Longer than a round trip between regions.
+inline constexpr std::chrono::milliseconds AskInterval{150};
+
+/// Time after which a search is given up. Callers retransmit after up to 1.6 s,
+/// so that an agent that is just restarting still ends the search in time.
+inline constexpr std::chrono::milliseconds SearchLimit{2000};
 
 /// An agent that has been silent for this long counts as gone: a search doesn't
 /// wait for its answer.
@@ -50,6 +54,16 @@
 /// again by their retransmission.
 inline constexpr std::size_t MaxSearches = 4096;
 
+/// Time that a listed agent gets for its first report before an entry host
+/// places flows without it.
+inline constexpr std::chrono::milliseconds ReportPatience{250};
+
+/// Flows whose packets wait until an entry host that is starting knows enough.
+/// One packet a flow is kept. Callers give an opening up after 1.4 s; packets
+/// that are older wait in vain.
+inline constexpr std::size_t MaxWaitingFlows = 4096;
+inline constexpr std::chrono::milliseconds WaitingPatience{1300};
+
 /// Flows that are remembered at most.
 inline constexpr std::size_t MaxFlows = 400'000;
 
@@ -75,6 +89,8 @@
   TimePoint LastSeen{};
   /// The caller has sent something after its opening packet.
   bool Established = false;
+  /// Service that the flow was placed for; zero if it was found by a search.
+  std::uint32_t ServiceTag = 0;
   /// Agents whose upstream doesn't take the flow.
   std::vector<Endpoint> Excluded;
 };
@@ -82,6 +98,7 @@
 /// A flow whose upstream is being looked for.
 struct Search {
   TimePoint Started{};
+  TimePoint AskDue{};
   /// Agents that haven't answered.
   std::vector<Endpoint> Waiting;
   /// Agents that can't tell, and were sent the packets.
@@ -93,11 +110,17 @@
   bool ResetSeen = false;
 };
 
+/// A packet that came before enough was known to handle it.
+struct WaitingPacket {
+  Bytes Raw;
+  TimePoint Since{};
+};
+
 /// Counters of an entry host since its start.
 struct EntryCounters {
   std::uint64_t PacketsFromCallers = 0;
   std::uint64_t Malformed = 0;
-  std::uint64_t WithoutRoutes = 0;
+  std::uint64_t Held = 0;
   std::uint64_t Opened = 0;
   std::uint64_t OpenedAgain = 0;
   std::uint64_t Refused = 0;
@@ -116,6 +139,13 @@
   absl::flat_hash_map<Endpoint, AgentView> Agents;
   absl::flat_hash_map<FlowKey, OwnedFlow> Flows;
   absl::flat_hash_map<FlowKey, Search> Searches;
+  /// Empty once flows can be placed.
+  absl::flat_hash_map<FlowKey, WaitingPacket> Waiting;
+  /// Routes and the list of agents are complete, and the agents have had time
+  /// to report. Never ends: what is known later is better than what a start
+  /// begins with.
+  bool Placing = false;
+  bool Listed = false;
   TimePoint SubscribeDue{};
   TimePoint CleanUpDue{};
   EntryCounters Counters;
@@ -149,9 +179,10 @@
 /// never reverts.
 void setRoutes(EntryFlows &E, std::shared_ptr<const RouteIndex> Routes);
 
-/// Adds the agents that the control hosts list.
+/// Adds the agents that the control hosts list; \p Complete tells whether these
+/// are all.
 void listAgents(EntryFlows &E, const std::vector<Endpoint> &Listed,
-                TimePoint Now, EntryEffects &Out);
+                bool Complete, TimePoint Now, EntryEffects &Out);
 
 /// Handles a caller's packet.
 void onCallerPacket(EntryFlows &E, absl::Span<const std::uint8_t> Raw,
@@ -165,10 +196,8 @@
 /// Runs timers; call it at least every 50 ms.
 void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out);
 
-/// \returns whether new flows can be placed: routes are known and every listed
-/// agent has either reported or been known for \p Patience.
-bool readyToPlace(const EntryFlows &E, TimePoint Now,
-                  std::chrono::milliseconds Patience);
+/// \returns whether new flows can be placed.
+inline bool placing(const EntryFlows &E) { return E.Placing; }
 
 } // namespace jasminearch::flow
 
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -19,12 +19,14 @@
 } // namespace
 
 ControlNode::ControlNode(ControlNodeOptions Given, const Clock &Time,
-                         LogOpener Open)
+                         LogOpener Open, AgentStore Store)
     : Options(std::move(Given)), Time(Time), Open(std::move(Open)),
-      Seeds(Options.Seeds.begin(), Options.Seeds.end()) {
+      Seeds(Options.Seeds.begin(), Options.Seeds.end()),
+      Store(std::move(Store)) {
   for (const std::string &Host : Seeds)
     learnControlHost(Host);
   openLog();
+  loadAgents();
 }
 
 std::uint64_t ControlNode::version() const {
@@ -57,6 +59,7 @@
   O.FirstVoters = Options.Seeds;
   O.Bootstrap = Options.Bootstrap && Seeds.contains(Options.Host);
   LogFailed = false;
+  const TimePoint Began = Time.now();
   auto Opened = Open(O, logHandlers());
   if (!Opened && O.Bootstrap &&
       Opened.error().Code == ErrorCode::StorageAlreadyInitialized) {
@@ -67,7 +70,11 @@
     return storageFailed(Opened.error());
   Log = std::move(*Opened);
   logEvent(LogLevel::Info, "storage_opened",
-           {{"version", version()}, {"bootstrap", O.Bootstrap}});
+           {{"version", version()},
+            {"bootstrap", O.Bootstrap},
+            {"took_ms",
+             std::int64_t{
+                 duration_cast<milliseconds>(Time.now() - Began).count()}}});
 }
 
 consensus::ReplicatedLogHandlers ControlNode::logHandlers() {
@@ -196,7 +203,7 @@
       logEvent(LogLevel::Warning, "control_host_lost", {{"peer", At->first}});
     At->second.Link.reset();
     At->second.Open = false;
-    At->second.DialDue = Time.now() + RedialPause;
+    At->second.DialDue = Time.now() + RedialPauseMax / 4;
   }
   PeerOfLink.erase(Host);
 }
@@ -248,6 +255,8 @@
   } else if (const auto *M = std::get_if<Agents>(&Value)) {
     for (const AgentRecord &R : M->Known)
       learnAgent(R.Tunnel, Now - R.Age);
+  } else if (const auto *M = std::get_if<Left>(&Value)) {
+    forgetAgent(M->Tunnel);
   } else if (std::get_if<Status>(&Value) && L.From.Sender == Role::Agent) {
     learnAgent(L.From.Tunnel, Now);
   }
@@ -265,20 +274,26 @@
 
 void ControlNode::learnAgent(const Endpoint &Tunnel, TimePoint HeardAt) {
   const TimePoint Now = Time.now();
-  if (Now - HeardAt >= AgentRecordLife)
+  const auto Departure = Departed.find(Tunnel);
+  const bool Stale =
+      Departure != Departed.end() && HeardAt <= Departure->second;
+  if (Stale || Now - HeardAt >= AgentRecordLife)
     return;
   const auto [At, New] = Directory.try_emplace(Tunnel, HeardAt);
   At->second = std::max(At->second, HeardAt);
   if (!New)
     return;
+  DirectoryChanged = true;
   logEvent(LogLevel::Info, "agent_known", {{"agent", toString(Tunnel)}});
-  broadcastAgent({Tunnel, duration_cast<milliseconds>(Now - HeardAt)});
+  broadcast(
+      Agents{{{Tunnel, duration_cast<milliseconds>(Now - HeardAt)}}, false});
 }
 
-void ControlNode::broadcastAgent(const AgentRecord &Record) {
+/// Tells entry hosts and control hosts.
+void ControlNode::broadcast(const Message &Value) {
   if (!Hub)
     return;
-  const Bytes Encoded = encode(Agents{{Record}, false});
+  const Bytes Encoded = encode(Value);
   for (const auto &[Id, L] : Incoming)
     if (L.Greeted && L.From.Sender == Role::Entry)
       Hub->send(Id, Encoded);
@@ -287,6 +302,44 @@
       Hub->send(*P.Link, Encoded);
 }
 
+void ControlNode::forgetAgent(const Endpoint &Tunnel) {
+  Departed[Tunnel] = Time.now();
+  if (Directory.erase(Tunnel) == 0)
+    return;
+  DirectoryChanged = true;
+  logEvent(LogLevel::Info, "agent_left", {{"agent", toString(Tunnel)}});
+  broadcast(Left{Tunnel});
+}
+
+void ControlNode::loadAgents() {
+  const auto Stored = Store.Load();
+  if (!Stored)
+    return logError("agents_unreadable", Stored.error());
+  if (Stored->empty())
+    return;
+  const auto Decoded = decode(*Stored);
+  const auto *Known = Decoded ? std::get_if<Agents>(&*Decoded) : nullptr;
+  if (!Known) {
+    logError("agents_unreadable",
+             Decoded ? Error{ErrorCode::MessageUnknownType, "not a list"}
+                     : Decoded.error());
+    return;
+  }
+  // Their age is unknown; they get the usual time to be heard again.
+  for (const AgentRecord &R : Known->Known)
+    Directory.emplace(R.Tunnel, Time.now());
+  logEvent(LogLevel::Info, "agents_loaded",
+           {{"agents", std::uint64_t{Directory.size()}}});
+}
+
+void ControlNode::saveAgents() {
+  if (!std::exchange(DirectoryChanged, false))
+    return;
+  const auto Saved = Store.Save(encode(allAgents(Time.now())));
+  if (!Saved)
+    logError("agents_unsaved", Saved.error());
+}
+
 // Timers ----------------------------------------------------------------------
 
 void ControlNode::dial(const std::string &Host, Peer &P, TimePoint Now) {
@@ -304,7 +357,7 @@
   for (const consensus::Member &M : Members)
     learnControlHost(M.Host);
   for (auto &[Host, P] : Peers) {
-    if (P.Link && Now - P.HeardAt >= LinkSilent) {
+    if (P.Link && Now - P.HeardAt >= (P.Open ? LinkSilent : DialLimit)) {
       if (P.Open)
         logEvent(LogLevel::Warning, "control_host_silent", {{"peer", Host}});
       const link::LinkId Id = *P.Link;
@@ -365,9 +418,13 @@
     return;
   constexpr milliseconds GossipInterval{2000};
   GossipDue = Now + GossipInterval;
-  std::erase_if(Directory, [Now](const auto &Item) {
+  DirectoryChanged |= std::erase_if(Directory, [Now](const auto &Item) {
+                        return Now - Item.second >= AgentRecordLife;
+                      }) != 0;
+  std::erase_if(Departed, [Now](const auto &Item) {
     return Now - Item.second >= AgentRecordLife;
   });
+  saveAgents();
   const Bytes All = encode(allAgents(Now));
   const Bytes Hosts = encode(ControlHosts{knownHosts()});
   for (const auto &[Id, L] : Incoming) {
--- a/src/fleet/fleet_client.cpp
+++ b/src/fleet/fleet_client.cpp
@@ -1,5 +1,4 @@
 #include "jasminearch/fleet/fleet_client.h"
-#include "jasminearch/fleet/control_node.h"
 #include "jasminearch/log.h"
 #include <algorithm>
 #include <utility>
@@ -12,9 +11,6 @@
 /// another one: it may be cut off from the others.
 constexpr std::chrono::milliseconds QuorumPatience{1500};
 
-/// Time that opening a link may take; a host that is down doesn't answer.
-constexpr std::chrono::milliseconds DialLimit{700};
-
 } // namespace
 
 FleetClient::FleetClient(FleetClientOptions Given, const Clock &Time,
@@ -55,6 +51,7 @@
     return Hub->close(Id);
   const TimePoint Now = Time.now();
   Open = true;
+  Pause = RedialPause;
   HeardAt = QuorumAt = Now;
   StatusDue = Now + StatusInterval;
   Hub->send(
@@ -69,8 +66,9 @@
   logEvent(LogLevel::Warning, "control_lost",
            {{"control", LinkedTo}, {"reason", std::string("link closed")}});
   Link.reset();
+  DialDue = Time.now() + Pause;
+  Pause = std::min<std::chrono::milliseconds>(2 * Pause, RedialPauseMax);
   Open = false;
-  DialDue = Time.now() + RedialPause;
 }
 
 void FleetClient::hangUp(std::string_view Reason) {
@@ -107,7 +105,10 @@
     for (const AgentRecord &R : M->Known)
       Known.push_back(R.Tunnel);
     if (Handlers.AgentsListed)
-      Handlers.AgentsListed(Known);
+      Handlers.AgentsListed(Known, M->Complete);
+  } else if (const auto *M = std::get_if<Left>(&*Decoded)) {
+    if (Handlers.AgentLeft)
+      Handlers.AgentLeft(M->Tunnel);
   } else if (auto *M = std::get_if<fleet::Routes>(&*Decoded)) {
     if (M->Table.Version <= version())
       return;
@@ -120,6 +121,12 @@
   }
 }
 
+void FleetClient::leave() {
+  if (Open)
+    Hub->send(*Link, encode(Left{Options.Tunnel}));
+  Leaving = true;
+}
+
 void FleetClient::dial(TimePoint Now) {
   if (Hosts.empty())
     return;
@@ -130,6 +137,8 @@
 }
 
 void FleetClient::tick() {
+  if (Leaving)
+    return;
   const TimePoint Now = Time.now();
   if (!Link) {
     if (Now >= DialDue)
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -110,6 +110,8 @@
   return json::array({json::binary(compress(Table.data(), Table.size()))});
 }
 
+json fields(const Left &M) { return json::array({toJson(M.Tunnel)}); }
+
 Hello readHello(Reader &R) {
   Hello M;
   const auto Sender = R.next<unsigned>();
@@ -162,6 +164,8 @@
     return readConsensus(R);
   case 5:
     return readRoutes(R);
+  case 6:
+    return Left{toEndpoint(R.element())};
   default:
     return fail(ErrorCode::MessageUnknownType,
                 "unknown fleet message " + std::to_string(Type));
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -97,16 +97,88 @@
   C.Out.emplace_back(ToUpstream{std::move(Copy)});
 }
 
+/// The request in flight on \p F is over.
+void endRequest(AgentFlows &A, AgentFlow &F) {
+  if (!F.RequestAt)
+    return;
+  F.RequestAt.reset();
+  --A.InFlight;
+}
+
+void end(AgentFlows &A, AgentFlow &F) {
+  F.Ended = true;
+  endRequest(A, F);
+}
+
+void forget(AgentFlows &A, const FlowKey &Flow) {
+  const auto At = A.Flows.find(Flow);
+  if (At == A.Flows.end())
+    return;
+  endRequest(A, At->second);
+  A.Flows.erase(At);
+}
+
 void track(Context &C, const Packet &P, const Endpoint &Entry) {
   AgentFlow &F = C.A.Flows[P.Flow];
   F.LastSeen = C.Now;
   F.Entry = Entry;
   if (P.Opens)
     F.Ended = false;
-  if (P.DataBytes != 0 && !F.RequestAt)
+  if (P.DataBytes != 0 && !F.RequestAt) {
     F.RequestAt = C.Now;
+    ++C.A.InFlight;
+  }
   if (P.Resets)
-    F.Ended = true;
+    end(C.A, F);
+}
+
+void deliverOpening(Context &C, const Endpoint &Entry, const Packet &P,
+                    absl::Span<const std::uint8_t> Raw) {
+  ++C.A.Counters.OpeningsDelivered;
+  C.A.RecentOpenings.push_back(C.Now);
+  track(C, P, Entry);
+  deliver(C, Entry, P, Raw);
+}
+
+/// Lets an opening wait until the upstream has room, or declines it.
+void waitForRoom(Context &C, const Endpoint &Entry, const Packet &P,
+                 absl::Span<const std::uint8_t> Raw) {
+  const auto IsCopy = [&P](const WaitingOpening &W) {
+    return W.Flow == P.Flow;
+  };
+  if (std::any_of(C.A.Waiting.begin(), C.A.Waiting.end(), IsCopy))
+    return;
+  if (expectedWait(C.A) >= OpeningPatience) {
+    ++C.A.Counters.OpeningsDeclined;
+    note(C, "opening_declined", P.Flow, "too many openings wait");
+    return sendBack(C, Entry, Holding::NotReady, Raw);
+  }
+  ++C.A.Counters.OpeningsWaited;
+  note(C, "opening_waits", P.Flow, "requests in flight fill the upstream");
+  C.A.Waiting.push_back({P.Flow, Entry, Bytes(Raw.begin(), Raw.end()), C.Now});
+}
+
+/// Delivers openings while there is room, oldest first.
+void admitWaiting(Context &C) {
+  while (!C.A.Waiting.empty()) {
+    const WaitingOpening &First = C.A.Waiting.front();
+    const bool Expired = C.Now - First.Since >= OpeningPatience;
+    const bool Serves = leased(C.A, C.Now) && !C.A.Stopping &&
+                        C.A.Upstream->State == UpstreamState::Ready;
+    if (!Expired && Serves && !hasRoom(C.A, C.Now))
+      return;
+    const WaitingOpening W = std::move(C.A.Waiting.front());
+    C.A.Waiting.pop_front();
+    const auto P = C.A.Options.Codec.Decode(W.Raw, Direction::FromCaller);
+    if (Expired || !P) {
+      ++C.A.Counters.OpeningsExpired;
+      note(C, "opening_expired", W.Flow, "the caller has given it up");
+    } else if (!Serves) {
+      sendBack(C, W.Entry, Holding::NotReady, W.Raw);
+    } else {
+      deliverOpening(C, W.Entry, *P, W.Raw);
+    }
+  }
 }
 
 void onOpening(Context &C, const Endpoint &Entry, std::uint32_t ServiceTag,
@@ -118,9 +190,10 @@
                             : "upstream not heard");
     return sendBack(C, Entry, Holding::NotReady, Raw);
   }
-  ++C.A.Counters.OpeningsDelivered;
-  track(C, P, Entry);
-  deliver(C, Entry, P, Raw);
+  const bool Known = C.A.Flows.contains(P.Flow);
+  if (Known || (C.A.Waiting.empty() && hasRoom(C.A, C.Now)))
+    return deliverOpening(C, Entry, P, Raw);
+  waitForRoom(C, Entry, P, Raw);
 }
 
 void onForward(Context &C, const Endpoint &Entry, const TunnelHeader &Header,
@@ -159,7 +232,7 @@
     ++C.A.Counters.Malformed;
     return;
   }
-  C.A.Flows.erase(Decoded->Flow);
+  forget(C.A, Decoded->Flow);
   const auto Entry = entryOf(C.A, Decoded->Tag);
   if (!Entry) {
     note(C, "returned_dropped", Decoded->Flow, "sent by an earlier run");
@@ -176,11 +249,14 @@
   const std::chrono::duration<double, std::micro> Took = Now - *F.RequestAt;
   A.ResponseTime += ResponseTimeGain * (Took - A.ResponseTime);
   add(A.ResponseTimes, Took);
-  F.RequestAt.reset();
+  endRequest(A, F);
 }
 
 void cleanUp(AgentFlows &A, TimePoint Now) {
-  absl::erase_if(A.Flows, [Now](const auto &Item) {
+  absl::erase_if(A.Flows, [&A, Now](auto &Item) {
+    // A request that its caller gave up would count as in flight for ever.
+    if (Now - Item.second.LastSeen >= RequestForgotten)
+      endRequest(A, Item.second);
     return Now - Item.second.LastSeen >= AgentFlowForgotten;
   });
   absl::erase_if(A.Subscribers,
@@ -204,6 +280,8 @@
     // A new start holds no flow of the one before.
     if (Value.StartedAtMs != Held.StartedAtMs || Value.Name != Held.Name) {
       A.Flows.clear();
+      A.InFlight = 0;
+      A.RecentOpenings.clear();
       A.UnansweredSince.reset();
     }
   }
@@ -283,7 +361,8 @@
   F.LastSeen = Now;
   if (P.DataBytes != 0)
     observeResponse(A, F, Now);
-  F.Ended = F.Ended || P.Finishes || P.Resets;
+  if (P.Finishes || P.Resets)
+    end(A, F);
   const bool Established = F.Confirmed;
   if (!Established && !P.Opens && F.Entry != Endpoint{})
     sendToEntry(C, F.Entry, TunnelKind::Located, Holding::Yes,
@@ -292,10 +371,15 @@
   // Only the upstream that holds a flow answers on it: a sign of life.
   if (Established && A.Upstream && P.DataBytes != 0)
     A.UpstreamHeardAt = Now;
+  admitWaiting(C);
 }
 
 void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out) {
   Context C{A, Now, Out};
+  while (!A.RecentOpenings.empty() &&
+         Now - A.RecentOpenings.front() >= FirstRequestWait)
+    A.RecentOpenings.pop_front();
+  admitWaiting(C);
   if (Now >= A.CleanUpDue) {
     A.CleanUpDue = Now + std::chrono::seconds(1);
     cleanUp(A, Now);
@@ -311,6 +395,24 @@
       sendToEntry(C, Entry, TunnelKind::Load, Holding::No, Payload);
 }
 
+bool hasRoom(const AgentFlows &A, TimePoint Now) {
+  const std::uint64_t Expected = std::count_if(
+      A.RecentOpenings.begin(), A.RecentOpenings.end(),
+      [Now](TimePoint At) { return Now - At < FirstRequestWait; });
+  const std::uint32_t Slots = A.Upstream ? A.Upstream->Slots : 1;
+  return A.InFlight + Expected < std::uint64_t{Slots} * InFlightPerSlot;
+}
+
+milliseconds expectedWait(const AgentFlows &A) {
+  const std::uint32_t Slots = A.Upstream ? A.Upstream->Slots : 1;
+  std::chrono::duration<double, std::milli> Response = A.ResponseTime;
+  if (Response.count() <= 0)
+    Response = ResponseTimeGuess;
+  const double Rounds = static_cast<double>(A.Waiting.size()) /
+                        static_cast<double>(Slots * InFlightPerSlot);
+  return duration_cast<milliseconds>(Rounds * Response);
+}
+
 LoadReport report(const AgentFlows &A, TimePoint Now) {
   LoadReport R;
   R.RunId = A.Options.RunId;
@@ -332,6 +434,9 @@
     ++R.ActiveFlows;
     R.Outstanding += F.RequestAt ? 1 : 0;
   }
+  const auto Waiting = static_cast<std::uint32_t>(A.Waiting.size());
+  R.ActiveFlows += Waiting;
+  R.Outstanding += Waiting;
   if (A.UnansweredSince)
     R.Silent = duration_cast<milliseconds>(Now - *A.UnansweredSince);
   R.ResponseTime = duration_cast<microseconds>(A.ResponseTime);
--- a/src/flow/agent_loop.cpp
+++ b/src/flow/agent_loop.cpp
@@ -42,6 +42,8 @@
   Text.counter("to_callers_total", C.ToCallers);
   Text.counter("openings_delivered_total", C.OpeningsDelivered);
   Text.counter("openings_declined_total", C.OpeningsDeclined);
+  Text.counter("openings_waited_total", C.OpeningsWaited);
+  Text.counter("openings_expired_total", C.OpeningsExpired);
   Text.counter("returned_by_upstream_total", C.ReturnedByUpstream);
   Text.counter("not_held_total", C.NotHeld);
   Text.counter("malformed_total", C.Malformed);
@@ -142,6 +144,7 @@
   Mail.post([this, Value = std::move(Value), Done = std::move(Done)] {
     const auto Before = Flows.Upstream;
     const AnnounceOutcome Outcome = flow::announce(Flows, Value, Time.now());
+    Withdrawn = Flows.Withdrawn;
     const bool Changed = !Before || Before->Name != Value.Name ||
                          Before->State != Value.State ||
                          Before->StartedAtMs != Value.StartedAtMs;
@@ -161,6 +164,7 @@
                          std::function<void(AnnounceOutcome)> Done) {
   Mail.post([this, Name = std::move(Name), Done = std::move(Done)] {
     const AnnounceOutcome Outcome = flow::withdraw(Flows, Name);
+    Withdrawn = Flows.Withdrawn;
     logEvent(
         LogLevel::Info, "upstream_withdrawn",
         {{"upstream", Name}, {"taken", Outcome == AnnounceOutcome::Taken}});
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -63,6 +63,14 @@
       SendTunnel{Agent, encodeTunnel({Kind, Holding::No, 0}, Payload)});
 }
 
+/// \returns whether \p Agent has been silent for so long that it counts as
+/// gone, or isn't known any more.
+bool gone(const Context &C, const Endpoint &Agent) {
+  const auto At = C.E.Agents.find(Agent);
+  return At == C.E.Agents.end() ||
+         C.Now - std::max(At->second.ReportedAt, At->second.Since) > AgentGone;
+}
+
 std::vector<Candidate> candidates(const Context &C) {
   std::vector<Candidate> All;
   All.reserve(C.E.Agents.size());
@@ -114,14 +122,16 @@
   note(C, "flow_placed", P.Flow, Service, Agent);
   ++C.E.Agents[Agent].PlacedSince;
   OwnedFlow &F = C.E.Flows[P.Flow];
-  F = OwnedFlow{Agent, C.Now, false, std::move(Excluded)};
-  forward(C, Agent, Raw, serviceTag(Service));
+  F = OwnedFlow{Agent, C.Now, false, serviceTag(Service), std::move(Excluded)};
+  forward(C, Agent, Raw, F.ServiceTag);
 }
 
-bool alive(const Context &C, const Endpoint &Agent) {
+/// \returns whether \p Agent and the upstream beside it have shown life lately.
+bool answering(const Context &C, const Endpoint &Agent) {
   const auto At = C.E.Agents.find(Agent);
   return At != C.E.Agents.end() && At->second.Report &&
-         C.Now - At->second.ReportedAt < ReportFresh / 2;
+         C.Now - At->second.ReportedAt < ReportFresh / 2 &&
+         At->second.Report->Silent < SilentLimit;
 }
 
 void onOpening(Context &C, const Packet &P, absl::Span<const std::uint8_t> Raw,
@@ -138,11 +148,12 @@
   if (F.Established)
     return forward(C, F.Agent, Raw);
   ++C.E.Counters.OpenedAgain;
-  // The first copy most likely makes up for a lost packet; after that the
-  // upstream doesn't answer, and another one is tried.
+  // A copy most likely makes up for a lost packet, or the flow waits at its
+  // agent. Only an upstream that doesn't answer is given up.
+  if (answering(C, F.Agent))
+    return forward(C, F.Agent, Raw, F.ServiceTag);
   std::vector<Endpoint> Excluded = F.Excluded;
-  if (P.Acknowledged > 1 || !alive(C, F.Agent))
-    Excluded.push_back(F.Agent);
+  Excluded.push_back(F.Agent);
   offer(C, P, Raw, Of, std::move(Excluded));
 }
 
@@ -189,11 +200,11 @@
   ++C.E.Counters.Searches;
   Search &S = C.E.Searches[P.Flow];
   S.Started = C.Now;
+  S.AskDue = C.Now + AskInterval;
   hold(S, P, Raw);
   const Bytes Key = encodeFlowKey(P.Flow);
   for (const auto &[Agent, View] : C.E.Agents) {
-    const TimePoint Heard = std::max(View.ReportedAt, View.Since);
-    if (contains(Excluded, Agent) || C.Now - Heard > AgentGone)
+    if (contains(Excluded, Agent) || gone(C, Agent))
       continue;
     S.Waiting.push_back(Agent);
     ask(C, Agent, TunnelKind::Locate, Key);
@@ -201,14 +212,6 @@
   advance(C, P.Flow);
 }
 
-/// \returns whether \p Agent has been silent for so long that it counts as
-/// gone, or isn't known any more.
-bool gone(const Context &C, const Endpoint &Agent) {
-  const auto At = C.E.Agents.find(Agent);
-  return At == C.E.Agents.end() ||
-         C.Now - std::max(At->second.ReportedAt, At->second.Since) > AgentGone;
-}
-
 void onEstablished(Context &C, const Packet &P,
                    absl::Span<const std::uint8_t> Raw) {
   const auto Owned = C.E.Flows.find(P.Flow);
@@ -230,7 +233,7 @@
     return;
   ++C.E.Counters.Found;
   note(C, "flow_found", Flow, "an agent holds it", Agent);
-  C.E.Flows[Flow] = OwnedFlow{Agent, C.Now, true, {}};
+  C.E.Flows[Flow] = OwnedFlow{Agent, C.Now, true, 0, {}};
   // Packets that were tried there have arrived already.
   if (!contains(At->second.Tried, Agent))
     for (const Bytes &Raw : At->second.Held)
@@ -305,11 +308,50 @@
   View.PlacedSince = 0;
 }
 
-void expireSearches(Context &C) {
+/// Begins to place flows once enough is known. \returns whether flows are
+/// placed.
+bool startPlacing(Context &C) {
+  if (C.E.Placing || !C.E.Routes || !C.E.Listed)
+    return C.E.Placing;
+  const auto Known = [&C](const auto &Item) {
+    return Item.second.Report || C.Now - Item.second.Since >= ReportPatience;
+  };
+  C.E.Placing = std::all_of(C.E.Agents.begin(), C.E.Agents.end(), Known);
+  return C.E.Placing;
+}
+
+/// Keeps a packet until enough is known. The newest one tells most about an
+/// established flow, and any copy of an opening packet is as good as another.
+void keepWaiting(Context &C, const FlowKey &Flow,
+                 absl::Span<const std::uint8_t> Raw) {
+  ++C.E.Counters.Held;
+  if (C.E.Waiting.size() >= MaxWaitingFlows && !C.E.Waiting.contains(Flow))
+    return;
+  C.E.Waiting[Flow] = {Bytes(Raw.begin(), Raw.end()), C.Now};
+}
+
+/// Asks agents again that haven't answered, and ends searches that took too
+/// long.
+void tickSearches(Context &C) {
   std::vector<FlowKey> Expired;
-  for (const auto &[Flow, S] : C.E.Searches)
-    if (C.Now - S.Started >= SearchLimit)
+  std::vector<FlowKey> Answered;
+  for (auto &[Flow, S] : C.E.Searches) {
+    if (C.Now - S.Started >= SearchLimit) {
       Expired.push_back(Flow);
+      continue;
+    }
+    if (C.Now < S.AskDue)
+      continue;
+    S.AskDue = C.Now + AskInterval;
+    std::erase_if(S.Waiting, [&C](const auto &A) { return gone(C, A); });
+    const Bytes Key = encodeFlowKey(Flow);
+    for (const Endpoint &Agent : S.Waiting)
+      ask(C, Agent, TunnelKind::Locate, Key);
+    if (S.Waiting.empty())
+      Answered.push_back(Flow);
+  }
+  for (const FlowKey &Flow : Answered)
+    advance(C, Flow);
   for (const FlowKey &Flow : Expired) {
     ++C.E.Counters.SearchExpired;
     note(C, "search_expired", Flow, "not all agents answered in time");
@@ -326,6 +368,15 @@
   });
 }
 
+/// Handles the packets that waited.
+void releaseWaiting(Context &C) {
+  if (!startPlacing(C) || C.E.Waiting.empty())
+    return;
+  for (const auto &[Flow, W] : std::exchange(C.E.Waiting, {}))
+    if (C.Now - W.Since < WaitingPatience)
+      onCallerPacket(C.E, W.Raw, C.Now, C.Out);
+}
+
 } // namespace
 
 void setRoutes(EntryFlows &E, std::shared_ptr<const RouteIndex> Routes) {
@@ -334,8 +385,9 @@
 }
 
 void listAgents(EntryFlows &E, const std::vector<Endpoint> &Listed,
-                TimePoint Now, EntryEffects &Out) {
+                bool Complete, TimePoint Now, EntryEffects &Out) {
   Context C{E, Now, Out};
+  E.Listed = E.Listed || Complete;
   for (const Endpoint &Agent : Listed) {
     AgentView &View = E.Agents[Agent];
     View.KnownAt = Now;
@@ -355,11 +407,9 @@
     ++E.Counters.Malformed;
     return;
   }
-  if (!E.Routes) {
-    ++E.Counters.WithoutRoutes;
-    return;
-  }
   const Packet &P = *Decoded;
+  if (!startPlacing(C))
+    return keepWaiting(C, P.Flow, Raw);
   const Route *Of = E.Routes->find(P.Flow.Service);
   if (!Of) {
     ++E.Counters.UnknownRoute;
@@ -398,7 +448,8 @@
 
 void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out) {
   Context C{E, Now, Out};
-  expireSearches(C);
+  releaseWaiting(C);
+  tickSearches(C);
   if (Now >= E.SubscribeDue) {
     E.SubscribeDue = Now + SubscribeInterval;
     for (const auto &[Agent, View] : E.Agents)
@@ -410,12 +461,4 @@
   }
 }
 
-bool readyToPlace(const EntryFlows &E, TimePoint Now, milliseconds Patience) {
-  if (!E.Routes)
-    return false;
-  return std::all_of(E.Agents.begin(), E.Agents.end(), [&](const auto &Item) {
-    return Item.second.Report || Now - Item.second.Since >= Patience;
-  });
-}
-
 } // namespace jasminearch::flow
--- a/src/flow/entry_loop.cpp
+++ b/src/flow/entry_loop.cpp
@@ -43,7 +43,7 @@
   MetricsText Text("jasminearch_entry_");
   Text.counter("caller_packets_total", C.PacketsFromCallers);
   Text.counter("malformed_total", C.Malformed);
-  Text.counter("without_routes_total", C.WithoutRoutes);
+  Text.counter("packets_held_total", C.Held);
   Text.counter("flows_opened_total", C.Opened);
   Text.counter("flows_opened_again_total", C.OpenedAgain);
   Text.counter("flows_refused_total", C.Refused);
@@ -129,7 +129,7 @@
     if (Now >= TickDue) {
       TickDue = Now + std::chrono::milliseconds(detail::TickMilliseconds);
       tick(Flows, Now, Effects);
-      Ready = readyToPlace(Flows, Now, detail::ReportPatience);
+      Ready = placing(Flows);
     }
     carryOut();
   }
@@ -144,12 +144,16 @@
       [this, Routes = std::move(Routes)] { flow::setRoutes(Flows, Routes); });
 }
 
-void EntryLoop::listAgents(std::vector<Endpoint> Agents) {
-  Mail.post([this, Agents = std::move(Agents)] {
-    flow::listAgents(Flows, Agents, Time.now(), Effects);
+void EntryLoop::listAgents(std::vector<Endpoint> Agents, bool Complete) {
+  Mail.post([this, Agents = std::move(Agents), Complete] {
+    flow::listAgents(Flows, Agents, Complete, Time.now(), Effects);
   });
 }
 
+void EntryLoop::agentLeft(const Endpoint &Agent) {
+  Mail.post([this, Agent] { Flows.Agents.erase(Agent); });
+}
+
 std::string EntryLoop::metrics() {
   return detail::ask(Mail, [this] { return metricsText(Flows); });
 }
