Test the decisions of entry hosts and agents about flows

The tests found that an opening whose request had arrived counted twice for 60 ms, so that an agent let openings wait at half of its limit.

--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -108,6 +108,8 @@
   /// The upstream has answered on it.
   bool Confirmed = false;
   bool Ended = false;
+  /// Counts in RecentOpenings.
+  bool FirstRequestDue = false;
 };
 
 /// An opening packet that waits for the upstream.
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -127,6 +127,9 @@
   if (P.DataBytes != 0 && !F.RequestAt) {
     F.RequestAt = C.Now;
     ++C.A.InFlight;
+    // The request that the opening stood for is here.
+    if (std::exchange(F.FirstRequestDue, false) && !C.A.RecentOpenings.empty())
+      C.A.RecentOpenings.pop_front();
   }
   if (P.Resets)
     end(C.A, F);
@@ -137,6 +140,7 @@
   ++C.A.Counters.OpeningsDelivered;
   C.A.RecentOpenings.push_back(C.Now);
   track(C, P, Entry);
+  C.A.Flows[P.Flow].FirstRequestDue = true;
   deliver(C, Entry, P, Raw);
 }
 
--- a/tests/consensus_node_test.cpp
+++ b/tests/consensus_node_test.cpp
@@ -111,8 +111,12 @@
     const TimePoint Start{};
     NodeState Node = nodeOf("a", Start);
     const Message Request{"sb", "sa", 2, VoteRequest{false, 1, 1}};
-    CPPUNIT_ASSERT(receive(Node, "b", Request, Start + 300ms).Messages.empty());
-    const Effects Later = receive(Node, "b", Request, Start + 400ms);
+    CPPUNIT_ASSERT(
+        receive(Node, "b", Request, Start + LeaseDuration).Messages.empty());
+    CPPUNIT_ASSERT(receive(Node, "b", Request, Start + ElectionTimeoutMin - 1ms)
+                       .Messages.empty());
+    const Effects Later =
+        receive(Node, "b", Request, Start + ElectionTimeoutMin);
     CPPUNIT_ASSERT(bodiesOf<VoteReply>(Later, "b").at(0).Granted);
   }
 
@@ -171,9 +175,9 @@
     NodeState Node = nodeOf("a", Now);
     campaign(Node, Now);
     receive(Node, "b", {"sb", "sa", 2, VoteReply{false, true}}, Now);
-    tick(Node, Now + 799ms);
+    tick(Node, Now + ElectionTimeoutMax - 1ms);
     CPPUNIT_ASSERT(Node.Is == Role::Leader);
-    tick(Node, Now + 800ms);
+    tick(Node, Now + ElectionTimeoutMax);
     CPPUNIT_ASSERT(Node.Is == Role::Follower);
   }
 
--- /dev/null
+++ b/tests/flow_agent_test.cpp
@@ -0,0 +1,325 @@
+#include "flow_support.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace jasminearch;
+using namespace jasminearch::flow;
+using namespace jasminearch::flow::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Endpoint EntryHost{0x0A010064, 7720};
+
+class AgentFlowsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AgentFlowsTest);
+  CPPUNIT_TEST(deliversOnlyForItsService);
+  CPPUNIT_TEST(declinesOpeningsOnceDraining);
+  CPPUNIT_TEST(keepsFlowsOfADrainingUpstream);
+  CPPUNIT_TEST(declinesWhenTheUpstreamIsNotHeard);
+  CPPUNIT_TEST(ignoresOutdatedAnnouncements);
+  CPPUNIT_TEST(forgetsFlowsOfAnEarlierStart);
+  CPPUNIT_TEST(sendsReturnedPacketsBackUnmarked);
+  CPPUNIT_TEST(dropsPacketsThatAnEarlierRunTagged);
+  CPPUNIT_TEST(answersLocateTruthfully);
+  CPPUNIT_TEST(tellsWhoAskedOnceTheUpstreamAnswers);
+  CPPUNIT_TEST(returnsPacketsOfALostUpstream);
+  CPPUNIT_TEST(silenceCountsOnlyUnansweredPackets);
+  CPPUNIT_TEST(letsOpeningsWaitForRoom);
+  CPPUNIT_TEST(returnsWaitingOpeningsWhenTheUpstreamDrains);
+  CPPUNIT_TEST(declinesWhatWouldWaitTooLong);
+  CPPUNIT_TEST(dropsOpeningsThatCallersGaveUp);
+  CPPUNIT_TEST(freesRoomOfRequestsThatWereGivenUp);
+  CPPUNIT_TEST(takesNothingNewWhileStopping);
+  CPPUNIT_TEST(countsWhatItCannotRead);
+  CPPUNIT_TEST_SUITE_END();
+
+  AgentFlows A;
+  AgentEffects Out;
+  TimePoint Now = TimePoint(1h);
+  std::uint64_t Number = 0;
+
+  UpstreamAnnounced announced(UpstreamState State = UpstreamState::Ready) {
+    UpstreamAnnounced U;
+    U.Name = "i-1";
+    U.Service = "orders";
+    U.State = State;
+    U.Slots = 2;
+    U.Number = ++Number;
+    U.StartedAtMs = 1000;
+    return U;
+  }
+
+  void begin() {
+    A = {};
+    A.Options.RunId = 0xBEEF;
+    A.Options.Codec = codec();
+    announce(A, announced(), Now);
+    Out.clear();
+  }
+
+  void forward(const WirePacket &P, const std::string &Service = "orders") {
+    Out.clear();
+    onTunnel(
+        A, EntryHost,
+        encodeTunnel({TunnelKind::Forward, Holding::No, serviceTag(Service)},
+                     encode(P)),
+        Now, Out);
+  }
+
+  void upstreamSends(const WirePacket &P) {
+    Out.clear();
+    onUpstreamPacket(A, encode(P), Now, Out);
+  }
+
+  /// Opens a flow and leaves a request in flight on it.
+  void busyFlow(std::uint16_t Port) {
+    forward(opening(Port));
+    upstreamSends(opening(Port));
+    forward(data(Port));
+  }
+
+  std::vector<SentTunnel> sent(TunnelKind Kind) const {
+    return tunnels<AgentEffects, ToEntry>(Out, Kind);
+  }
+  std::size_t delivered() const { return only<ToUpstream>(Out).size(); }
+
+  Holding located(std::uint16_t Port) {
+    Out.clear();
+    onTunnel(A, EntryHost,
+             encodeTunnel({TunnelKind::Locate, Holding::No, 0},
+                          encodeFlowKey({caller(Port), ServiceAddress})),
+             Now, Out);
+    return sent(TunnelKind::Located).at(0).Header.Detail;
+  }
+
+public:
+  /// Guards against a packet for one service at the upstream of another.
+  void deliversOnlyForItsService() {
+    begin();
+    forward(opening(1), "catalogue");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    CPPUNIT_ASSERT(sent(TunnelKind::Returned).at(0).Header.Detail ==
+                   Holding::NotReady);
+    forward(opening(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+  }
+
+  /// Guards against new work at an upstream that leaves.
+  void declinesOpeningsOnceDraining() {
+    begin();
+    announce(A, announced(UpstreamState::Draining), Now);
+    forward(opening(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+  }
+
+  void keepsFlowsOfADrainingUpstream() {
+    begin();
+    busyFlow(1);
+    announce(A, announced(UpstreamState::Draining), Now);
+    forward(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+  }
+
+  /// Guards against an opening for an address that another service took over
+  /// while the former upstream's announcements were still believed.
+  void declinesWhenTheUpstreamIsNotHeard() {
+    begin();
+    Now += A.Options.Lease;
+    forward(opening(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    announce(A, announced(), Now);
+    forward(opening(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+  }
+
+  /// Guards against a late announcement that ends a drain or brings back an
+  /// upstream that has crashed.
+  void ignoresOutdatedAnnouncements() {
+    begin();
+    const UpstreamAnnounced Late = announced();
+    announce(A, announced(UpstreamState::Draining), Now);
+    CPPUNIT_ASSERT(announce(A, Late, Now) == AnnounceOutcome::Outdated);
+    UpstreamAnnounced Reborn = announced();
+    Reborn.Name = "i-2";
+    Reborn.Number = 0;
+    Reborn.StartedAtMs = 2000;
+    CPPUNIT_ASSERT(announce(A, Reborn, Now) == AnnounceOutcome::Taken);
+    UpstreamAnnounced Dead = announced();
+    CPPUNIT_ASSERT(announce(A, Dead, Now) == AnnounceOutcome::Outdated);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), A.Upstream->Name);
+  }
+
+  void forgetsFlowsOfAnEarlierStart() {
+    begin();
+    busyFlow(1);
+    CPPUNIT_ASSERT(located(1) == Holding::Yes);
+    UpstreamAnnounced Again = announced();
+    Again.StartedAtMs = 2000;
+    announce(A, Again, Now);
+    CPPUNIT_ASSERT(located(1) != Holding::Yes);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, A.InFlight);
+  }
+
+  /// Guards against a packet that reaches its next upstream changed.
+  void sendsReturnedPacketsBackUnmarked() {
+    begin();
+    forward(data(1));
+    WirePacket Returned = wire(only<ToUpstream>(Out).at(0).Raw);
+    Returned.Returned = true;
+    upstreamSends(Returned);
+    const auto Back = sent(TunnelKind::Returned);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Back.size());
+    CPPUNIT_ASSERT(Back.at(0).To == EntryHost);
+    CPPUNIT_ASSERT(Back.at(0).Payload == encode(data(1)));
+  }
+
+  void dropsPacketsThatAnEarlierRunTagged() {
+    begin();
+    forward(data(1));
+    WirePacket Returned = wire(only<ToUpstream>(Out).at(0).Raw);
+    Returned.Returned = true;
+    A.Options.RunId = 0xABCD;
+    upstreamSends(Returned);
+    CPPUNIT_ASSERT(sent(TunnelKind::Returned).empty());
+  }
+
+  void answersLocateTruthfully() {
+    begin();
+    CPPUNIT_ASSERT(located(1) == Holding::Unsure);
+    busyFlow(1);
+    CPPUNIT_ASSERT(located(1) == Holding::Yes);
+    withdraw(A, "i-1");
+    CPPUNIT_ASSERT(located(1) == Holding::No);
+  }
+
+  /// Guards against an entry host that keeps searching for a flow whose agent
+  /// has restarted.
+  void tellsWhoAskedOnceTheUpstreamAnswers() {
+    begin();
+    forward(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+    WirePacket Answer = data(1);
+    upstreamSends(Answer);
+    CPPUNIT_ASSERT(sent(TunnelKind::Located).at(0).Header.Detail ==
+                   Holding::Yes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, only<ToCaller>(Out).size());
+    upstreamSends(Answer);
+    CPPUNIT_ASSERT(sent(TunnelKind::Located).empty());
+  }
+
+  /// Guards against callers that wait for an upstream that has crashed.
+  void returnsPacketsOfALostUpstream() {
+    begin();
+    busyFlow(1);
+    Now += UpstreamGone;
+    forward(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent(TunnelKind::Returned).size());
+  }
+
+  /// Guards against calling an idle upstream silent, which keeps new flows away
+  /// from it for good.
+  void silenceCountsOnlyUnansweredPackets() {
+    begin();
+    WirePacket Acknowledgement = data(1);
+    Acknowledgement.DataBytes = 0;
+    forward(Acknowledgement);
+    Now += 1s;
+    CPPUNIT_ASSERT(report(A, Now).Silent == 0ms);
+    forward(data(1));
+    Now += 1s;
+    CPPUNIT_ASSERT(report(A, Now).Silent == 1s);
+    upstreamSends(data(1));
+    CPPUNIT_ASSERT(report(A, Now).Silent == 0ms);
+  }
+
+  void letsOpeningsWaitForRoom() {
+    begin();
+    const auto Limit =
+        static_cast<std::uint16_t>(A.Upstream->Slots * InFlightPerSlot);
+    for (std::uint16_t Port = 1; Port <= Limit; ++Port)
+      busyFlow(Port);
+    Now += FirstRequestWait;
+    Out.clear();
+    tick(A, Now, Out);
+    forward(opening(100));
+    forward(opening(101));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    CPPUNIT_ASSERT(sent(TunnelKind::Returned).empty());
+    forward(opening(100, 1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, A.Waiting.size());
+    upstreamSends(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+    CPPUNIT_ASSERT(wire(only<ToUpstream>(Out).at(0).Raw).Caller == caller(100));
+  }
+
+  /// Guards against openings that reach an upstream after its drain.
+  void returnsWaitingOpeningsWhenTheUpstreamDrains() {
+    letsOpeningsWaitForRoom();
+    announce(A, announced(UpstreamState::Draining), Now);
+    Out.clear();
+    tick(A, Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent(TunnelKind::Returned).size());
+    CPPUNIT_ASSERT(A.Waiting.empty());
+  }
+
+  void declinesWhatWouldWaitTooLong() {
+    begin();
+    A.ResponseTime = 300ms;
+    std::uint16_t Port = 1;
+    for (; Port < 200; ++Port) {
+      forward(opening(Port));
+      if (!sent(TunnelKind::Returned).empty())
+        break;
+    }
+    // Four rounds of 300 ms with six openings each.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{24}, A.Waiting.size());
+    CPPUNIT_ASSERT(expectedWait(A) >= OpeningPatience);
+  }
+
+  void dropsOpeningsThatCallersGaveUp() {
+    letsOpeningsWaitForRoom();
+    Now += OpeningPatience;
+    announce(A, announced(), Now);
+    Out.clear();
+    tick(A, Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, A.Counters.OpeningsExpired);
+  }
+
+  /// Guards against room that callers who gave up keep for ever.
+  void freesRoomOfRequestsThatWereGivenUp() {
+    begin();
+    busyFlow(1);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, A.InFlight);
+    Now += RequestForgotten;
+    tick(A, Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, A.InFlight);
+  }
+
+  void takesNothingNewWhileStopping() {
+    begin();
+    busyFlow(1);
+    prepareStop(A);
+    CPPUNIT_ASSERT(report(A, Now).State == UpstreamState::Unknown);
+    forward(opening(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    forward(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+  }
+
+  void countsWhatItCannotRead() {
+    begin();
+    onTunnel(A, EntryHost, Bytes{9, 9}, Now, Out);
+    onUpstreamPacket(A, Bytes{1}, Now, Out);
+    onTunnel(A, EntryHost,
+             encodeTunnel({TunnelKind::Locate, Holding::No, 0}, Bytes{1}), Now,
+             Out);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, A.Counters.Malformed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentFlowsTest);
+
+} // namespace
--- /dev/null
+++ b/tests/flow_entry_test.cpp
@@ -0,0 +1,355 @@
+#include "flow_support.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace jasminearch;
+using namespace jasminearch::flow;
+using namespace jasminearch::flow::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+class EntryFlowsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryFlowsTest);
+  CPPUNIT_TEST(placesOnTheLeastLoaded);
+  CPPUNIT_TEST(sendsCopiesToTheSameAgent);
+  CPPUNIT_TEST(movesACopyWhenTheUpstreamIsSilent);
+  CPPUNIT_TEST(offersADeclinedOpeningElsewhere);
+  CPPUNIT_TEST(refusesOnceEveryUpstreamDeclined);
+  CPPUNIT_TEST(refusesAtOnceWithoutUpstreams);
+  CPPUNIT_TEST(findsAFlowThatAnotherHostPlaced);
+  CPPUNIT_TEST(resetsAFlowThatNoUpstreamHolds);
+  CPPUNIT_TEST(doesNotResetBeforeEveryAgentAnswered);
+  CPPUNIT_TEST(asksASilentAgentAgain);
+  CPPUNIT_TEST(endsASearchWhenAnAgentLeaves);
+  CPPUNIT_TEST(triesAgentsThatCannotTell);
+  CPPUNIT_TEST(searchesAgainAfterAReturn);
+  CPPUNIT_TEST(looksForFlowsOfAnAgentThatIsGone);
+  CPPUNIT_TEST(keepsFlowsWhereTheyAreWhenRoutesChange);
+  CPPUNIT_TEST(resetsFlowsOfARemovedRoute);
+  CPPUNIT_TEST(neverRevertsRoutes);
+  CPPUNIT_TEST(holdsPacketsUntilAgentsHaveReported);
+  CPPUNIT_TEST(placesWithoutAnAgentThatNeverReports);
+  CPPUNIT_TEST(placesOneFlowForCopiesThatWaited);
+  CPPUNIT_TEST(countsWhatItCannotRead);
+  CPPUNIT_TEST_SUITE_END();
+
+  EntryFlows E;
+  EntryEffects Out;
+  TimePoint Now = TimePoint(1h);
+
+  void begin(std::uint32_t Agents) {
+    E = {};
+    E.Codec = codec();
+    setRoutes(E, std::make_shared<const RouteIndex>(routesTo("orders")));
+    std::vector<Endpoint> Listed;
+    for (std::uint32_t I = 1; I <= Agents; ++I)
+      Listed.push_back(agentAt(I));
+    listAgents(E, Listed, true, Now, Out);
+    for (std::uint32_t I = 1; I <= Agents; ++I)
+      load(I, readyReport("orders"));
+    tick(E, Now, Out);
+    Out.clear();
+  }
+
+  void load(std::uint32_t Agent, const LoadReport &R) {
+    onTunnel(E, agentAt(Agent), loadFrom(R), Now, Out);
+  }
+
+  void packet(const WirePacket &P) {
+    Out.clear();
+    onCallerPacket(E, encode(P), Now, Out);
+  }
+
+  void answer(std::uint32_t Agent, std::uint16_t Port, Holding What) {
+    Out.clear();
+    onTunnel(E, agentAt(Agent),
+             encodeTunnel({TunnelKind::Located, What, 0},
+                          encodeFlowKey({caller(Port), ServiceAddress})),
+             Now, Out);
+  }
+
+  void giveBack(std::uint32_t Agent, const WirePacket &P,
+                Holding Why = Holding::No) {
+    Out.clear();
+    onTunnel(E, agentAt(Agent),
+             encodeTunnel({TunnelKind::Returned, Why, 0}, encode(P)), Now, Out);
+  }
+
+  std::vector<SentTunnel> asked() const {
+    return tunnels<EntryEffects, SendTunnel>(Out, TunnelKind::Locate);
+  }
+
+  bool wasReset() const { return !only<SendReset>(Out).empty(); }
+
+public:
+  /// Guards against placing by chance while upstreams differ in load.
+  void placesOnTheLeastLoaded() {
+    begin(3);
+    load(1, readyReport("orders", 5));
+    load(3, readyReport("orders", 3));
+    packet(opening(1));
+    CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(2));
+    CPPUNIT_ASSERT_EQUAL(serviceTag("orders"),
+                         forwards(Out).at(0).Header.ServiceTag);
+  }
+
+  /// Guards against two half-open flows for every lost packet.
+  void sendsCopiesToTheSameAgent() {
+    begin(3);
+    packet(opening(1));
+    const Endpoint First = forwards(Out).at(0).To;
+    for (std::uint32_t Copy = 1; Copy <= 2; ++Copy) {
+      packet(opening(1, Copy));
+      CPPUNIT_ASSERT(forwards(Out).at(0).To == First);
+    }
+  }
+
+  /// Guards against openings that are lost with an upstream that hangs.
+  void movesACopyWhenTheUpstreamIsSilent() {
+    begin(2);
+    packet(opening(1));
+    const Endpoint First = forwards(Out).at(0).To;
+    LoadReport Hangs = readyReport("orders");
+    Hangs.Silent = SilentLimit;
+    load(First == agentAt(1) ? 1 : 2, Hangs);
+    packet(opening(1, 1));
+    CPPUNIT_ASSERT(forwards(Out).at(0).To != First);
+  }
+
+  /// Guards against refusing a flow that another upstream could serve.
+  void offersADeclinedOpeningElsewhere() {
+    begin(2);
+    packet(opening(1));
+    const Endpoint First = forwards(Out).at(0).To;
+    giveBack(First == agentAt(1) ? 1 : 2, opening(1), Holding::NotReady);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    CPPUNIT_ASSERT(forwards(Out).at(0).To != First);
+    CPPUNIT_ASSERT(!wasReset());
+  }
+
+  /// Guards against callers that wait for an answer that can't come.
+  void refusesOnceEveryUpstreamDeclined() {
+    begin(2);
+    packet(opening(1));
+    const Endpoint First = forwards(Out).at(0).To;
+    giveBack(First == agentAt(1) ? 1 : 2, opening(1));
+    giveBack(First == agentAt(1) ? 2 : 1, opening(1));
+    CPPUNIT_ASSERT(wasReset());
+    CPPUNIT_ASSERT(forwards(Out).empty());
+  }
+
+  void refusesAtOnceWithoutUpstreams() {
+    begin(2);
+    LoadReport Leaving = readyReport("orders");
+    Leaving.State = UpstreamState::Draining;
+    load(1, Leaving);
+    load(2, readyReport("catalogue"));
+    packet(opening(1));
+    CPPUNIT_ASSERT(wasReset());
+  }
+
+  /// Guards against flows that break when another entry host gets their
+  /// packets.
+  void findsAFlowThatAnotherHostPlaced() {
+    begin(3);
+    packet(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, asked().size());
+    CPPUNIT_ASSERT(!wasReset());
+    answer(1, 1, Holding::Unsure);
+    answer(2, 1, Holding::Yes);
+    CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(2));
+    packet(data(1));
+    CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(2));
+  }
+
+  /// Guards against callers that wait until their deadline on a dead flow.
+  void resetsAFlowThatNoUpstreamHolds() {
+    begin(2);
+    packet(data(1, 1234));
+    answer(1, 1, Holding::No);
+    CPPUNIT_ASSERT(!wasReset());
+    answer(2, 1, Holding::No);
+    CPPUNIT_ASSERT(wasReset());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1234},
+                         only<SendReset>(Out).at(0).Value.Sequence);
+  }
+
+  /// Guards against resetting a live flow while its agent restarts.
+  void doesNotResetBeforeEveryAgentAnswered() {
+    begin(2);
+    packet(data(1));
+    answer(1, 1, Holding::No);
+    Now += SearchLimit + 1ms;
+    Out.clear();
+    tick(E, Now, Out);
+    CPPUNIT_ASSERT(!wasReset());
+    CPPUNIT_ASSERT(E.Searches.empty());
+  }
+
+  void asksASilentAgentAgain() {
+    begin(2);
+    packet(data(1));
+    answer(1, 1, Holding::No);
+    Now += AskInterval;
+    Out.clear();
+    tick(E, Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asked().size());
+    CPPUNIT_ASSERT(asked().at(0).To == agentAt(2));
+    answer(2, 1, Holding::Yes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+  }
+
+  /// Guards against searches that wait for hosts that were taken away.
+  void endsASearchWhenAnAgentLeaves() {
+    begin(2);
+    packet(data(1));
+    answer(1, 1, Holding::No);
+    E.Agents.erase(agentAt(2));
+    Now += AskInterval;
+    Out.clear();
+    tick(E, Now, Out);
+    CPPUNIT_ASSERT(wasReset());
+  }
+
+  /// Guards against losing flows whose agent has restarted.
+  void triesAgentsThatCannotTell() {
+    begin(3);
+    packet(data(1));
+    answer(1, 1, Holding::Unsure);
+    answer(2, 1, Holding::No);
+    answer(3, 1, Holding::Unsure);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, forwards(Out).size());
+    CPPUNIT_ASSERT(!wasReset());
+    giveBack(1, data(1));
+    CPPUNIT_ASSERT(!wasReset());
+    answer(3, 1, Holding::Yes);
+    packet(data(1));
+    CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(3));
+  }
+
+  /// Guards against a remembered owner that is wrong.
+  void searchesAgainAfterAReturn() {
+    begin(2);
+    packet(opening(1));
+    const bool FirstOnOne = forwards(Out).at(0).To == agentAt(1);
+    packet(data(1));
+    giveBack(FirstOnOne ? 1 : 2, data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asked().size());
+    answer(FirstOnOne ? 2 : 1, 1, Holding::Yes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+  }
+
+  void looksForFlowsOfAnAgentThatIsGone() {
+    begin(2);
+    packet(opening(1));
+    const std::uint32_t Owner = forwards(Out).at(0).To == agentAt(1) ? 1 : 2;
+    const std::uint32_t Other = 3 - Owner;
+    packet(data(1));
+    Now += AgentGone + 1ms;
+    load(Other, readyReport("orders"));
+    packet(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asked().size());
+    answer(Other, 1, Holding::No);
+    CPPUNIT_ASSERT(wasReset());
+  }
+
+  /// Guards against flows that break when a route's weights change.
+  void keepsFlowsWhereTheyAreWhenRoutesChange() {
+    begin(2);
+    load(2, readyReport("catalogue"));
+    packet(opening(1));
+    packet(data(1));
+    RouteTable Changed = routesTo("catalogue", 2);
+    setRoutes(E, std::make_shared<const RouteIndex>(Changed));
+    packet(data(1));
+    CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(1));
+    packet(opening(2));
+    CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(2));
+  }
+
+  void resetsFlowsOfARemovedRoute() {
+    begin(1);
+    packet(opening(1));
+    packet(data(1));
+    RouteTable Empty;
+    Empty.Version = 2;
+    setRoutes(E, std::make_shared<const RouteIndex>(Empty));
+    packet(data(1));
+    CPPUNIT_ASSERT(wasReset());
+    CPPUNIT_ASSERT(forwards(Out).empty());
+  }
+
+  void neverRevertsRoutes() {
+    begin(1);
+    setRoutes(E, std::make_shared<const RouteIndex>(routesTo("orders", 9)));
+    setRoutes(E, std::make_shared<const RouteIndex>(routesTo("orders", 8)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, E.Routes->table().Version);
+  }
+
+  /// Guards against placing everything on the first agent that reports, and
+  /// against refusing callers because this host has just started.
+  void holdsPacketsUntilAgentsHaveReported() {
+    E = {};
+    E.Codec = codec();
+    packet(opening(1));
+    packet(data(2));
+    CPPUNIT_ASSERT(Out.empty());
+    setRoutes(E, std::make_shared<const RouteIndex>(routesTo("orders")));
+    listAgents(E, {agentAt(1), agentAt(2)}, true, Now, Out);
+    load(1, readyReport("orders"));
+    Out.clear();
+    tick(E, Now, Out);
+    CPPUNIT_ASSERT(forwards(Out).empty());
+    load(2, readyReport("orders"));
+    Out.clear();
+    tick(E, Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, asked().size());
+  }
+
+  void placesWithoutAnAgentThatNeverReports() {
+    E = {};
+    E.Codec = codec();
+    setRoutes(E, std::make_shared<const RouteIndex>(routesTo("orders")));
+    listAgents(E, {agentAt(1), agentAt(2)}, true, Now, Out);
+    load(1, readyReport("orders"));
+    packet(opening(1));
+    CPPUNIT_ASSERT(forwards(Out).empty());
+    Now += ReportPatience;
+    Out.clear();
+    tick(E, Now, Out);
+    CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(1));
+    CPPUNIT_ASSERT(placing(E));
+  }
+
+  /// Guards against several half-open flows for one caller after a start.
+  void placesOneFlowForCopiesThatWaited() {
+    E = {};
+    E.Codec = codec();
+    for (std::uint32_t Copy = 0; Copy <= 2; ++Copy)
+      packet(opening(1, Copy));
+    setRoutes(E, std::make_shared<const RouteIndex>(routesTo("orders")));
+    listAgents(E, {agentAt(1)}, true, Now, Out);
+    load(1, readyReport("orders"));
+    Out.clear();
+    tick(E, Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+  }
+
+  void countsWhatItCannotRead() {
+    begin(1);
+    onCallerPacket(E, Bytes{1, 2, 3}, Now, Out);
+    onTunnel(E, agentAt(1), Bytes{1}, Now, Out);
+    onTunnel(E, agentAt(1),
+             encodeTunnel({TunnelKind::Load, Holding::No, 0}, Bytes{0x61}), Now,
+             Out);
+    onTunnel(E, agentAt(1),
+             encodeTunnel({TunnelKind::Returned, Holding::No, 0}, Bytes{0x61}),
+             Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, E.Counters.Malformed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryFlowsTest);
+
+} // namespace
