Test the control of a fleet over an in-memory network; step aside with a full disk

Change: ReplicatedLog::stepDown(), used when a proposal meets a full disk; 22 tests of three control hosts and daemons with cuts, freezes, silent links, lost disks and replaced hosts.

--- a/include/jasminearch/consensus/node.h
+++ b/include/jasminearch/consensus/node.h
@@ -204,6 +204,9 @@
 /// Runs timers.
 Effects tick(NodeState &Node, TimePoint Now);
 
+/// Gives up leading and lets the others campaign first.
+Effects stepDown(NodeState &Node, TimePoint Now);
+
 /// Handles \p Received, which the link says is from \p Host.
 Effects receive(NodeState &Node, const std::string &Host,
                 const Message &Received, TimePoint Now);
--- a/include/jasminearch/consensus/replicated_log.h
+++ b/include/jasminearch/consensus/replicated_log.h
@@ -96,6 +96,10 @@
   /// that arrive late do not make it look more recent.
   virtual Duration quorumAge() const = 0;
 
+  /// Gives up leading, for example because this host's disk is full. Another
+  /// host leads after an election.
+  virtual void stepDown() = 0;
+
   /// Replaces the hosts that are asked to admit this one.
   virtual void setHosts(std::vector<std::string> Hosts) = 0;
 
--- a/include/jasminearch/fleet/control_node.h
+++ b/include/jasminearch/fleet/control_node.h
@@ -137,6 +137,8 @@
 
   bool leading() const { return Log && Log->leaseHeld(); }
   std::uint64_t version() const;
+  /// \returns the hosts whose votes count, as of the last committed change.
+  std::vector<std::string> voters() const;
   std::size_t agents() const { return Directory.size(); }
   std::size_t subscribers() const { return Incoming.size(); }
 
--- a/src/consensus/node.cpp
+++ b/src/consensus/node.cpp
@@ -118,6 +118,15 @@
 
 } // namespace detail
 
+Effects stepDown(NodeState &Node, TimePoint Now) {
+  Effects Out;
+  if (Node.Is != Role::Leader)
+    return Out;
+  becomeFollower(Node, Node.Hard.Current, Out, Now);
+  armElection(Node, Now, 4 * ElectionTimeoutMax, 8 * ElectionTimeoutMax);
+  return Out;
+}
+
 NodeState makeNode(NodeOptions Options, StoredState Stored, TimePoint Now) {
   NodeState Node;
   Node.Options = std::move(Options);
--- a/src/consensus/node_membership.cpp
+++ b/src/consensus/node_membership.cpp
@@ -31,9 +31,8 @@
 }
 
 std::size_t voterCount(const std::vector<Member> &Members) {
-  return static_cast<std::size_t>(
-      std::count_if(Members.begin(), Members.end(),
-                    [](const Member &M) { return M.Voter; }));
+  return static_cast<std::size_t>(std::count_if(
+      Members.begin(), Members.end(), [](const Member &M) { return M.Voter; }));
 }
 
 /// \returns whether open membership has room for another voter: below the
@@ -184,8 +183,8 @@
         return StorageRef{M.Host, M.StorageId} == self(Node);
       });
   const bool LeaderHeard = Now - Node.LeaderHeardAt < RejoinAfter;
-  if (Known && (Node.Options.MaxVoters == 0 || Node.Is == Role::Leader ||
-                LeaderHeard))
+  if (Known &&
+      (Node.Options.MaxVoters == 0 || Node.Is == Role::Leader || LeaderHeard))
     return;
   for (const std::string &Host : Node.Options.Hosts) {
     if (Host != Node.Options.Host)
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -134,6 +134,11 @@
     return consensus::quorumAge(Node, Time.now());
   }
 
+  void stepDown() override {
+    if (!Halted)
+      carryOut(consensus::stepDown(Node, Time.now()));
+  }
+
   void setHosts(std::vector<std::string> Hosts) override {
     Node.Options.Hosts = std::move(Hosts);
   }
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -33,6 +33,15 @@
   return Current ? Current->Version : 0;
 }
 
+std::vector<std::string> ControlNode::voters() const {
+  std::vector<std::string> Hosts;
+  if (Log)
+    for (const consensus::Member &M : Log->members())
+      if (M.Voter)
+        Hosts.push_back(M.Host);
+  return Hosts;
+}
+
 link::LinkHandlers ControlNode::linkHandlers() {
   link::LinkHandlers H;
   H.Opened = [this](link::LinkId Id, bool IsIncoming) {
@@ -503,8 +512,12 @@
   if (!Leads || W.Proposed)
     return false;
   const auto Proposed = Log->propose(encodeAccepted(W.Value));
-  if (!Proposed)
+  if (!Proposed) {
+    // Others can still write; while this host leads, they can't accept.
+    if (Proposed.error().Code == ErrorCode::StorageFull)
+      Log->stepDown();
     return Answer("refused_by_log", Unavailable{Proposed.error()});
+  }
   W.Proposed = true;
   return false;
 }
--- /dev/null
+++ b/tests/fleet_control_test.cpp
@@ -0,0 +1,418 @@
+#include "fleet_world.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace jasminearch;
+using namespace jasminearch::fleet;
+using namespace jasminearch::fleet::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<std::string> Three = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
+
+class FleetControlTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetControlTest);
+  CPPUNIT_TEST(acceptsAndReadsBack);
+  CPPUNIT_TEST(acknowledgesLowerVersionsWithoutEffect);
+  CPPUNIT_TEST(keepsTheFirstContentOfAVersion);
+  CPPUNIT_TEST(sendsOperatorsToTheLeader);
+  CPPUNIT_TEST(cutOffLeaderAnswersNoReads);
+  CPPUNIT_TEST(waitsForALeaderBeforeItGivesUp);
+  CPPUNIT_TEST(keepsVersionsWhenAllAreKilled);
+  CPPUNIT_TEST(keepsVersionsWhenADiskIsLost);
+  CPPUNIT_TEST(replacesAHostThatIsGone);
+  CPPUNIT_TEST(removedHostReturnsAsALearner);
+  CPPUNIT_TEST(stepsAsideWithAFullDisk);
+  CPPUNIT_TEST(bringsRoutesToEveryDaemon);
+  CPPUNIT_TEST(daemonsNeverGoBack);
+  CPPUNIT_TEST(servesNoRoutesWhileCutOff);
+  CPPUNIT_TEST(daemonLeavesAControlHostThatIsCutOff);
+  CPPUNIT_TEST(daemonLeavesASilentLink);
+  CPPUNIT_TEST(listsAgentsEverywhere);
+  CPPUNIT_TEST(forgetsAgentsThatLeave);
+  CPPUNIT_TEST(keepsAgentsOverARestart);
+  CPPUNIT_TEST(survivesBadMessages);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::unique_ptr<FleetWorld> W;
+
+  void begin() {
+    W = std::make_unique<FleetWorld>(Three);
+    for (const std::string &Host : Three)
+      W->startControl(Host, true);
+    W->run(2s);
+    CPPUNIT_ASSERT(W->leader());
+  }
+
+  /// Submits at the leader. \returns whether it was accepted.
+  bool accepted(std::uint64_t Version, const std::string &Document) {
+    W->Submitted.clear();
+    W->submit(W->leaderName(), Version, Document);
+    W->run(1s);
+    return W->Submitted.size() == 1 &&
+           std::holds_alternative<Accepted>(W->Submitted.front());
+  }
+
+  std::string documentInForce() {
+    const ReadResult R = W->read(W->leaderName());
+    const auto *Current = std::get_if<CurrentRoutes>(&R);
+    return Current ? Current->Document : "";
+  }
+
+  std::string follower() {
+    const std::string Leader = W->leaderName();
+    for (const std::string &Host : Three)
+      if (Host != Leader && W->Controls.at(Host).Node)
+        return Host;
+    return {};
+  }
+
+  std::size_t votersKnownTo(const std::string &Host) {
+    return W->Controls.at(Host).Node->voters().size();
+  }
+
+public:
+  void acceptsAndReadsBack() {
+    begin();
+    CPPUNIT_ASSERT(std::holds_alternative<NoRoutes>(W->read(W->leaderName())));
+    CPPUNIT_ASSERT(accepted(7, "{\"version\": 7}"));
+    CPPUNIT_ASSERT_EQUAL(std::string("{\"version\": 7}"), documentInForce());
+  }
+
+  /// Guards against a change that is refused when it is sent again, and against
+  /// an older one that takes effect.
+  void acknowledgesLowerVersionsWithoutEffect() {
+    begin();
+    CPPUNIT_ASSERT(accepted(7, "seven"));
+    CPPUNIT_ASSERT(accepted(7, "seven"));
+    CPPUNIT_ASSERT(accepted(3, "three"));
+    CPPUNIT_ASSERT_EQUAL(std::string("seven"), documentInForce());
+  }
+
+  /// Guards against two contents under one number when operators race.
+  void keepsTheFirstContentOfAVersion() {
+    begin();
+    W->submit(W->leaderName(), 7, "first");
+    W->submit(W->leaderName(), 7, "second");
+    W->run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, W->Submitted.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), documentInForce());
+  }
+
+  void sendsOperatorsToTheLeader() {
+    begin();
+    W->submit(follower(), 1, "one");
+    W->run(100ms);
+    const auto *Elsewhere = std::get_if<LedElsewhere>(&W->Submitted.at(0));
+    CPPUNIT_ASSERT(Elsewhere && Elsewhere->Host == W->leaderName());
+    CPPUNIT_ASSERT(std::holds_alternative<LedElsewhere>(W->read(follower())));
+  }
+
+  /// Guards against a read of an older version at a leader that was cut off.
+  void cutOffLeaderAnswersNoReads() {
+    begin();
+    CPPUNIT_ASSERT(accepted(1, "one"));
+    const std::string Old = W->leaderName();
+    W->Cut = {Old};
+    W->run(2s);
+    CPPUNIT_ASSERT(W->leaderName() != Old);
+    CPPUNIT_ASSERT(accepted(2, "two"));
+    CPPUNIT_ASSERT(std::holds_alternative<Unavailable>(W->read(Old)));
+    W->submit(Old, 3, "three");
+    W->run(1s);
+    CPPUNIT_ASSERT(std::holds_alternative<Unavailable>(W->Submitted.back()));
+    W->Cut.clear();
+    W->run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::string("two"), documentInForce());
+  }
+
+  /// Guards against refusing an operator during an election.
+  void waitsForALeaderBeforeItGivesUp() {
+    begin();
+    const std::string Asked = follower();
+    W->kill(W->leaderName());
+    W->run(100ms);
+    W->submit(Asked, 1, "one");
+    W->run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, W->Submitted.size());
+    CPPUNIT_ASSERT(!std::holds_alternative<Unavailable>(W->Submitted.at(0)));
+  }
+
+  void keepsVersionsWhenAllAreKilled() {
+    begin();
+    CPPUNIT_ASSERT(accepted(5, "five"));
+    for (const std::string &Host : Three)
+      W->kill(Host);
+    for (const std::string &Host : Three)
+      W->startControl(Host, false);
+    W->run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("five"), documentInForce());
+  }
+
+  /// Guards against counting an emptied disk as the one before.
+  void keepsVersionsWhenADiskIsLost() {
+    begin();
+    CPPUNIT_ASSERT(accepted(5, "five"));
+    const std::string Lost = W->leaderName();
+    W->kill(Lost);
+    W->Controls.at(Lost).Disk = std::make_shared<FakeDisk>();
+    W->startControl(Lost, false);
+    W->run(4s);
+    CPPUNIT_ASSERT_EQUAL(std::string("five"), documentInForce());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, votersKnownTo(W->leaderName()));
+    // A second loss right after the repair.
+    for (const std::string &Host : Three) {
+      if (Host == Lost)
+        continue;
+      W->kill(Host);
+      W->run(2s);
+      CPPUNIT_ASSERT_EQUAL(std::string("five"), documentInForce());
+      break;
+    }
+  }
+
+  /// Guards against a fleet that can bear no further loss after a host was
+  /// replaced by another one at a new address.
+  void replacesAHostThatIsGone() {
+    begin();
+    CPPUNIT_ASSERT(accepted(5, "five"));
+    W->kill("10.0.0.3");
+    W->startControl("10.0.0.9", false);
+    W->run(ReplaceAllowance);
+    const auto Voters = W->leader()->voters();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Voters.size());
+    CPPUNIT_ASSERT(std::find(Voters.begin(), Voters.end(), "10.0.0.9") !=
+                   Voters.end());
+    const std::string Leader = W->leaderName();
+    W->kill(Leader == "10.0.0.1" ? "10.0.0.1" : "10.0.0.2");
+    W->run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("five"), documentInForce());
+  }
+
+  /// Guards against a host that was replaced while it was cut off and then
+  /// waits for ever for a leader.
+  void removedHostReturnsAsALearner() {
+    begin();
+    const std::string Away = follower();
+    W->Cut = {Away};
+    W->startControl("10.0.0.9", false);
+    W->run(ReplaceAllowance);
+    const auto Voters = W->leader()->voters();
+    CPPUNIT_ASSERT(std::find(Voters.begin(), Voters.end(), Away) ==
+                   Voters.end());
+    CPPUNIT_ASSERT(accepted(8, "eight"));
+    W->Cut.clear();
+    W->run(4s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8},
+                         W->Controls.at(Away).Node->version());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, W->leader()->voters().size());
+  }
+
+  /// Guards against a leader that can't write and keeps others from leading.
+  void stepsAsideWithAFullDisk() {
+    begin();
+    const std::string Full = W->leaderName();
+    W->Controls.at(Full).Disk->Full = true;
+    W->submit(Full, 1, "one");
+    W->run(1500ms);
+    CPPUNIT_ASSERT(W->leader() && W->leaderName() != Full);
+    CPPUNIT_ASSERT(accepted(1, "one"));
+  }
+
+  void bringsRoutesToEveryDaemon() {
+    begin();
+    W->startDaemon("10.0.1.1", Role::Entry);
+    W->startDaemon("10.0.1.2", Role::Entry);
+    W->run(1s);
+    CPPUNIT_ASSERT(accepted(4, "four"));
+    for (const auto &[Host, D] : W->Daemons)
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, D.Client->version());
+  }
+
+  void daemonsNeverGoBack() {
+    begin();
+    Daemon &D = W->startDaemon("10.0.1.1", Role::Entry);
+    for (std::uint64_t Version = 1; Version <= 5; ++Version) {
+      CPPUNIT_ASSERT(accepted(Version, "x"));
+      W->kill(W->leaderName());
+      W->run(1500ms);
+      for (const std::string &Host : Three)
+        if (!W->Controls.at(Host).Node)
+          W->startControl(Host, false);
+      W->run(1500ms);
+    }
+    CPPUNIT_ASSERT(std::is_sorted(D.Versions.begin(), D.Versions.end()));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, D.Client->version());
+  }
+
+  /// Guards against an outdated version at a process that has just started.
+  void servesNoRoutesWhileCutOff() {
+    begin();
+    CPPUNIT_ASSERT(accepted(1, "one"));
+    const std::string Away = follower();
+    W->Cut = {Away, "10.0.1.1"};
+    W->run(2s);
+    CPPUNIT_ASSERT(accepted(2, "two"));
+    Daemon &D = W->startDaemon("10.0.1.1", Role::Entry);
+    W->run(2s);
+    CPPUNIT_ASSERT(!D.Client->current());
+    CPPUNIT_ASSERT(D.Versions.empty());
+    W->Cut.clear();
+    W->run(4s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, D.Client->version());
+    CPPUNIT_ASSERT(D.Client->current());
+  }
+
+  void daemonLeavesAControlHostThatIsCutOff() {
+    begin();
+    Daemon &D = W->startDaemon("10.0.1.1", Role::Entry);
+    W->run(1s);
+    CPPUNIT_ASSERT(accepted(1, "one"));
+    // Every control host is cut off once, so that the daemon's is among them.
+    // It can still reach all of them.
+    for (const std::string &Host : Three) {
+      W->Frozen = {Host};
+      W->run(3s);
+      const std::uint64_t Version = D.Client->version() + 1;
+      CPPUNIT_ASSERT(accepted(Version, "x"));
+      W->run(3s);
+      CPPUNIT_ASSERT_EQUAL(Version, D.Client->version());
+      W->Frozen.clear();
+      W->run(2s);
+    }
+  }
+
+  /// Guards against a connection that went silent without an end.
+  void daemonLeavesASilentLink() {
+    begin();
+    Daemon &D = W->startDaemon("10.0.1.1", Role::Entry);
+    W->run(1s);
+    for (auto &[Id, Other] : W->Hubs.at("10.0.1.1")->Links)
+      Other.second = 0;
+    for (const std::string &Host : Three)
+      std::erase_if(W->Hubs.at(Host)->Links, [](const auto &Item) {
+        return Item.second.first == "10.0.1.1";
+      });
+    CPPUNIT_ASSERT(accepted(1, "one"));
+    W->run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, D.Client->version());
+  }
+
+  void listsAgentsEverywhere() {
+    begin();
+    Daemon &Entry = W->startDaemon("10.0.1.1", Role::Entry);
+    W->run(1s);
+    for (const char *Host : {"10.0.2.1", "10.0.2.2", "10.0.2.3"})
+      W->startDaemon(Host, Role::Agent);
+    W->run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Entry.Agents.size());
+    for (const std::string &Host : Three)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, W->Controls.at(Host).Node->agents());
+  }
+
+  /// Guards against lists that bring an agent back which has left.
+  void forgetsAgentsThatLeave() {
+    begin();
+    Daemon &Entry = W->startDaemon("10.0.1.1", Role::Entry);
+    Daemon &Agent = W->startDaemon("10.0.2.1", Role::Agent);
+    W->run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.Agents.size());
+    Agent.Client->leave();
+    W->run(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.Left.size());
+    for (const std::string &Host : Three)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, W->Controls.at(Host).Node->agents());
+  }
+
+  /// Guards against entry hosts that know only the first agents to return
+  /// after a loss of power.
+  void keepsAgentsOverARestart() {
+    begin();
+    W->startDaemon("10.0.2.1", Role::Agent);
+    W->run(4s);
+    for (const std::string &Host : Three)
+      W->kill(Host);
+    W->kill("10.0.2.1");
+    for (const std::string &Host : Three)
+      W->startControl(Host, false);
+    for (const std::string &Host : Three)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, W->Controls.at(Host).Node->agents());
+    W->run(AgentRecordLife + 3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, W->leader()->agents());
+  }
+
+  void survivesBadMessages() {
+    begin();
+    const auto Handlers = W->Controls.at("10.0.0.1").Node->linkHandlers();
+    Handlers.Opened(999'999, true);
+    for (const Bytes &Bad :
+         {Bytes{}, Bytes{0xFF}, encode(Status{}), Bytes{0x82, 0x18, 0x63, 0x80},
+          Bytes{0x82, 0x05, 0x81, 0x41, 0x00}})
+      Handlers.Received(999'999, Bad);
+    W->run(1s);
+    CPPUNIT_ASSERT(accepted(1, "one"));
+  }
+
+private:
+  /// Time that a host may be gone until another has its place: the time after
+  /// which the users count it as repaired.
+  static constexpr Duration ReplaceAllowance = 4s;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetControlTest);
+
+class FleetMessagesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetMessagesTest);
+  CPPUNIT_TEST(keepsEveryField);
+  CPPUNIT_TEST(refusesCutMessages);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::vector<Message> samples() {
+    flow::RouteTable Table;
+    Table.Version = 9;
+    flow::Route R;
+    R.Name = "r";
+    R.Address = {1, 2};
+    R.Kind = flow::RequestKind::Download;
+    R.Targets = {{"a", 1.5}, {"b", 3}};
+    R.Timeout = 1500ms;
+    R.LatencyObjective = 250ms;
+    R.Priority = 2;
+    Table.Routes = {R};
+    Table.Services = {"a", "b"};
+    Table.IdleTimeout = 15s;
+    return {Hello{Role::Agent, "10.0.0.1", {3, 4}, 5},
+            Status{70ms, 6},
+            ControlHosts{{"10.0.0.1", "10.0.0.2"}},
+            Agents{{{{1, 2}, 30ms}, {{3, 4}, 0ms}}, true},
+            Consensus{{1, 2, 3}},
+            Routes{Table},
+            Left{{7, 8}}};
+  }
+
+public:
+  void keepsEveryField() {
+    for (const Message &M : samples()) {
+      const auto Back = decode(encode(M));
+      CPPUNIT_ASSERT(Back && *Back == M);
+    }
+    const AcceptedRoutes Value =
+        makeAccepted(std::get<Routes>(samples().at(5)).Table, "{ }");
+    const auto Back = decodeAccepted(encodeAccepted(Value));
+    CPPUNIT_ASSERT(Back && *Back == Value);
+    CPPUNIT_ASSERT_EQUAL(std::string("{ }"), *documentOf(*Back));
+  }
+
+  void refusesCutMessages() {
+    for (const Message &M : samples()) {
+      const Bytes Whole = encode(M);
+      for (std::size_t Size = 0; Size < Whole.size(); ++Size)
+        CPPUNIT_ASSERT(!decode(Bytes(
+            Whole.begin(), Whole.begin() + static_cast<std::ptrdiff_t>(Size))));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetMessagesTest);
+
+} // namespace
