--- a/tests/link_websocket_test.cpp
+++ b/tests/link_websocket_test.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(closesALinkWhoseQueueIsFull);
   CPPUNIT_TEST(survivesBytesThatAreNoWebsocket);
   CPPUNIT_TEST(sendsWhatIsQueuedBeforeClosing);
+  CPPUNIT_TEST(reportsNoEndFromInsideSend);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against messages that are merged, reordered or cut.
@@ -166,6 +167,23 @@
     ::close(Socket);
   }
 
+  /// Guards against a user that goes through its links while it sends, and
+  /// loses one of them in the middle.
+  void reportsNoEndFromInsideSend() {
+    LinkLimits Short;
+    Short.MaxQueuedBytes = 10'000;
+    Loop L(Short);
+    const LinkId Id = L.dial();
+    CPPUNIT_ASSERT(L.serveUntil([&] {
+      for (int I = 0; I < 10 && !L.Dialled.empty(); ++I) {
+        const int Before = L.Closed[Id];
+        L.Hub->send(Id, Text(4000, 1));
+        CPPUNIT_ASSERT_EQUAL(Before, L.Closed[Id]);
+      }
+      return L.Closed[Id] > 0;
+    }));
+  }
+
   /// Guards against a refusal that is lost because the link closes after it.
   void sendsWhatIsQueuedBeforeClosing() {
     Loop L;
