Choose among four upstreams by the flow's hash, and look for flows there first

And all 15 entry hosts sent their next flows to the same upstream, since they saw the same reports. Change: an opening chooses among the four upstreams that rank first for its flow (rendezvous hashing); a search asks these first, in growing waves, many flows in one datagram, with doubling pauses; an agent that heard its upstream's first announcement answers for certain; one packet is tried. Ruled out: processor time (0.02 of 0.12 cores), the backends (60% busy).

--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -36,6 +36,9 @@
 /// flow and a margin.
 inline constexpr std::chrono::milliseconds AgentFlowForgotten{75'000};
 
+/// Number of the first announcement of an upstream's start.
+inline constexpr std::uint64_t FirstAnnouncement = 1;
+
 /// An upstream that has given no sign of life for this long, and has left
 /// packets unanswered for UnansweredGone, has crashed: its flows are lost.
 inline constexpr std::chrono::milliseconds UpstreamGone{3000};
@@ -138,6 +141,9 @@
   AgentOptions Options;
   std::optional<UpstreamAnnounced> Upstream;
   TimePoint AnnouncedAt{};
+  /// This run of the agent heard the upstream's first announcement, so that no
+  /// opening was delivered without it.
+  bool SawStart = false;
   /// The upstream has said that it is gone.
   bool Withdrawn = false;
   /// The agent is about to stop and takes no new flows.
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -29,9 +29,15 @@
 inline constexpr std::chrono::milliseconds SubscribeInterval{400};
 
 /// Time between two Locate messages of one search to an agent that doesn't
-/// answer. Longer than a round trip between regions.
+/// answer; doubles with each. Longer than a round trip between regions.
 inline constexpr std::chrono::milliseconds AskInterval{150};
 
+/// Agents that a search asks first: those that rank first for the flow. Its
+/// upstream was chosen among the ChoicesPerFlow first that were ready then.
+/// Further waves are this many times larger.
+inline constexpr std::size_t FirstWave = 2 * ChoicesPerFlow;
+inline constexpr std::size_t WaveGrowth = 4;
+
 /// Time after which a search is given up. Callers retransmit after up to 1.6 s,
 /// so that an agent that is just restarting still ends the search in time.
 inline constexpr std::chrono::milliseconds SearchLimit{2000};
@@ -48,7 +54,7 @@
 inline constexpr std::size_t MaxOffers = 4;
 
 /// Packets of one flow that wait for the end of a search.
-inline constexpr std::size_t MaxHeldPackets = 16;
+inline constexpr std::size_t MaxHeldPackets = 4;
 
 /// Searches at a time; further packets of unknown flows are dropped and found
 /// again by their retransmission.
@@ -99,6 +105,10 @@
 struct Search {
   TimePoint Started{};
   TimePoint AskDue{};
+  std::chrono::milliseconds AskPause = AskInterval;
+  /// Agents that haven't been asked, the best last.
+  std::vector<Endpoint> Later;
+  std::size_t WaveSize = FirstWave;
   /// Agents that haven't answered.
   std::vector<Endpoint> Waiting;
   /// Agents that can't tell, and were sent the packets.
@@ -146,6 +156,8 @@
   /// begins with.
   bool Placing = false;
   bool Listed = false;
+  /// Flows to ask agents for with the next flush().
+  absl::flat_hash_map<Endpoint, std::vector<FlowKey>> Asks;
   TimePoint SubscribeDue{};
   TimePoint CleanUpDue{};
   EntryCounters Counters;
@@ -193,6 +205,10 @@
               absl::Span<const std::uint8_t> Datagram, TimePoint Now,
               EntryEffects &Out);
 
+/// Sends what is best sent together; call it after each batch of datagrams.
+/// When many flows are looked for at once, each agent gets one datagram.
+void flush(EntryFlows &E, EntryEffects &Out);
+
 /// Runs timers; call it at least every 50 ms.
 void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out);
 
--- a/include/jasminearch/flow/placement.h
+++ b/include/jasminearch/flow/placement.h
@@ -27,6 +27,12 @@
 /// come and go.
 inline constexpr double IdleFlowLoad = 0.35;
 
+/// Upstreams among which a flow's opening chooses, picked by the flow's hash.
+/// Entry hosts see the same reports; if each chose among all upstreams, all of
+/// them would send their next flows to the same one. It also bounds where a
+/// flow has to be looked for.
+inline constexpr std::size_t ChoicesPerFlow = 4;
+
 /// Share of its speed that an upstream has after a cold start.
 inline constexpr double ColdSpeed = 0.6;
 
@@ -50,10 +56,16 @@
 /// capacity.
 double loadWith(const Candidate &C, RequestKind Kind);
 
-/// Picks the eligible candidate with the least load; \p Hash decides between
-/// equals. Candidates in \p Excluded aren't taken, and silent ones only when
-/// there is no other. \returns its index, or nothing if none is eligible.
-/// Linear in the number of candidates.
+/// \returns the rank of \p Agent for a flow with \p Hash; the highest come
+/// first. The same on every entry host, and hardly changed by agents that come
+/// or go (rendezvous hashing).
+std::uint64_t rendezvousRank(const Endpoint &Agent, std::uint64_t Hash);
+
+/// Picks, among the ChoicesPerFlow eligible candidates that rank first for
+/// \p Hash, the one with the least load. Candidates in \p Excluded aren't
+/// taken, and silent ones only when there is no other. \returns its index, or
+/// nothing if none is eligible. Complexity: N log N in the number of
+/// candidates.
 std::optional<std::size_t> place(absl::Span<const Candidate> Candidates,
                                  const std::string &Service, RequestKind Kind,
                                  std::uint64_t Hash,
--- a/include/jasminearch/flow/tunnel.h
+++ b/include/jasminearch/flow/tunnel.h
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 /// Datagrams between entry hosts and agents: a fixed header, then the packet,
 /// flow key or report that it is about.
@@ -19,7 +20,7 @@
   Forward = 1,
   /// Agent to entry: a packet that the agent's upstream doesn't take.
   Returned = 2,
-  /// Entry to agent: asks whether the upstream holds a flow.
+  /// Entry to agent: asks whether the upstream holds some flows.
   Locate = 3,
   /// Agent to entry: answers Locate, or tells unasked that it holds a flow.
   Located = 4,
@@ -71,10 +72,34 @@
 /// version or of an unknown kind.
 Expected<TunnelDatagram> decodeTunnel(absl::Span<const std::uint8_t> Datagram);
 
-/// Payload of Locate and Located.
+/// Bytes of an encoded flow key.
+inline constexpr std::size_t FlowKeyBytes = 12;
+
+/// Flows in one Locate or Located at most, so that it fits into a packet of the
+/// usual size.
+inline constexpr std::size_t MaxFlowsPerDatagram = 100;
+
+/// Where a flow is, as an agent answers.
+struct FlowLocation {
+  FlowKey Flow;
+  Holding Where = Holding::No;
+
+  auto operator<=>(const FlowLocation &) const = default;
+};
+
 Bytes encodeFlowKey(const FlowKey &Key);
 Expected<FlowKey> decodeFlowKey(absl::Span<const std::uint8_t> Payload);
 
+/// Payload of Locate: at most MaxFlowsPerDatagram keys.
+Bytes encodeFlowKeys(const std::vector<FlowKey> &Keys);
+Expected<std::vector<FlowKey>>
+decodeFlowKeys(absl::Span<const std::uint8_t> Payload);
+
+/// Payload of Located: at most MaxFlowsPerDatagram locations.
+Bytes encodeLocations(const std::vector<FlowLocation> &Locations);
+Expected<std::vector<FlowLocation>>
+decodeLocations(absl::Span<const std::uint8_t> Payload);
+
 } // namespace jasminearch::flow
 
 #endif // JASMINEARCH_FLOW_TUNNEL_H
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -86,6 +86,9 @@
          Now - *A.UnansweredSince >= UnansweredGone;
 }
 
+/// \returns whether this agent knows every flow that its upstream holds.
+bool sawAllFlows(const AgentFlows &A) { return A.Upstream && A.SawStart; }
+
 void deliver(Context &C, const Endpoint &Entry, const Packet &P,
              absl::Span<const std::uint8_t> Raw) {
   ++C.A.Counters.Delivered;
@@ -210,7 +213,8 @@
   const Packet &P = *Decoded;
   if (P.Opens)
     return onOpening(C, Entry, Header.ServiceTag, P, Raw);
-  if (gone(C.A, C.Now)) {
+  const bool Unknown = !C.A.Flows.contains(P.Flow);
+  if (gone(C.A, C.Now) || (Unknown && sawAllFlows(C.A))) {
     ++C.A.Counters.NotHeld;
     return sendBack(C, Entry, Holding::No, Raw);
   }
@@ -218,15 +222,22 @@
   deliver(C, Entry, P, Raw);
 }
 
-void onLocate(Context &C, const Endpoint &Entry, const FlowKey &Flow) {
-  // Only the upstream itself can tell that it doesn't hold a flow.
-  Holding Answer = Holding::Unsure;
-  const auto At = C.A.Flows.find(Flow);
-  if (At != C.A.Flows.end() && At->second.Confirmed)
-    Answer = Holding::Yes;
+Holding holding(const Context &C, const FlowKey &Flow) {
   if (gone(C.A, C.Now))
-    Answer = Holding::No;
-  sendToEntry(C, Entry, TunnelKind::Located, Answer, encodeFlowKey(Flow));
+    return Holding::No;
+  const auto At = C.A.Flows.find(Flow);
+  if (At == C.A.Flows.end())
+    return sawAllFlows(C.A) ? Holding::No : Holding::Unsure;
+  return At->second.Confirmed ? Holding::Yes : Holding::Unsure;
+}
+
+void onLocate(Context &C, const Endpoint &Entry,
+              const std::vector<FlowKey> &Flows) {
+  std::vector<FlowLocation> Answers;
+  for (const FlowKey &Flow : Flows)
+    Answers.push_back({Flow, holding(C, Flow)});
+  sendToEntry(C, Entry, TunnelKind::Located, Holding::No,
+              encodeLocations(Answers));
 }
 
 void onReturned(Context &C, absl::Span<const std::uint8_t> Raw) {
@@ -284,12 +295,14 @@
     // A new start holds no flow of the one before.
     if (Value.StartedAtMs != Held.StartedAtMs || Value.Name != Held.Name) {
       A.Flows.clear();
+      A.SawStart = false;
       A.InFlight = 0;
       A.RecentOpenings.clear();
       A.UnansweredSince.reset();
     }
   }
   A.Upstream = Value;
+  A.SawStart = A.SawStart || Value.Number <= FirstAnnouncement;
   A.Withdrawn = false;
   A.AnnouncedAt = A.UpstreamHeardAt = Now;
   A.ReportDue = TimePoint{};
@@ -330,8 +343,8 @@
   case TunnelKind::Forward:
     return onForward(C, From, Decoded->Header, Decoded->Payload);
   case TunnelKind::Locate:
-    if (const auto Flow = decodeFlowKey(Decoded->Payload))
-      return onLocate(C, From, *Flow);
+    if (const auto Flows = decodeFlowKeys(Decoded->Payload))
+      return onLocate(C, From, *Flows);
     break;
   case TunnelKind::Subscribe: {
     const auto [At, New] = A.Subscribers.try_emplace(From);
@@ -369,8 +382,8 @@
     end(A, F);
   const bool Established = F.Confirmed;
   if (!Established && !P.Opens && F.Entry != Endpoint{})
-    sendToEntry(C, F.Entry, TunnelKind::Located, Holding::Yes,
-                encodeFlowKey(P.Flow));
+    sendToEntry(C, F.Entry, TunnelKind::Located, Holding::No,
+                encodeLocations({{P.Flow, Holding::Yes}}));
   F.Confirmed = true;
   // Only the upstream that holds a flow answers on it: a sign of life.
   if (Established && A.Upstream && P.DataBytes != 0)
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -1,6 +1,7 @@
 #include "jasminearch/flow/entry_flows.h"
 #include <absl/hash/hash.h>
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <xxhash.h>
 
@@ -166,21 +167,41 @@
   C.E.Searches.erase(Flow);
 }
 
-/// Takes the next step of a search once all agents have answered.
+void askAll(Context &C, const FlowKey &Flow, const Search &S) {
+  for (const Endpoint &Agent : S.Waiting)
+    C.E.Asks[Agent].push_back(Flow);
+}
+
+/// Asks the agents of the next wave.
+void nextWave(Context &C, const FlowKey &Flow, Search &S) {
+  const std::size_t Count = std::min(S.WaveSize, S.Later.size());
+  S.Waiting.assign(S.Later.rbegin(),
+                   S.Later.rbegin() + static_cast<std::ptrdiff_t>(Count));
+  S.Later.resize(S.Later.size() - Count);
+  S.WaveSize *= WaveGrowth;
+  S.AskPause = AskInterval;
+  S.AskDue = C.Now + S.AskPause;
+  askAll(C, Flow, S);
+}
+
+/// Takes the next step of a search once all agents that were asked have
+/// answered: tries those that can't tell, then asks the next ones.
 void advance(Context &C, const FlowKey &Flow) {
   const auto At = C.E.Searches.find(Flow);
   if (At == C.E.Searches.end() || !At->second.Waiting.empty())
     return;
   Search &S = At->second;
-  if (S.Unsure.empty()) {
-    if (S.Tried.empty())
-      foundNowhere(C, Flow, S);
+  if (!S.Unsure.empty()) {
+    S.Tried = std::exchange(S.Unsure, {});
+    for (const Endpoint &Agent : S.Tried)
+      forward(C, Agent, S.Held.back());
     return;
   }
-  S.Tried = std::exchange(S.Unsure, {});
-  for (const Endpoint &Agent : S.Tried)
-    for (const Bytes &Raw : S.Held)
-      forward(C, Agent, Raw);
+  if (!S.Tried.empty())
+    return;
+  if (S.Later.empty())
+    return foundNowhere(C, Flow, S);
+  nextWave(C, Flow, S);
 }
 
 void hold(Search &S, const Packet &P, absl::Span<const std::uint8_t> Raw) {
@@ -190,6 +211,32 @@
     S.Held.emplace_back(Raw.begin(), Raw.end());
 }
 
+bool serves(const Route &Of, const std::string &Service) {
+  return std::any_of(
+      Of.Targets.begin(), Of.Targets.end(),
+      [&Service](const RouteTarget &T) { return T.Service == Service; });
+}
+
+/// \returns the agents to ask for a flow, the most likely last: those of the
+/// route's services before others, and by their rank for the flow.
+std::vector<Endpoint> searchOrder(const Context &C, const FlowKey &Flow,
+                                  const std::vector<Endpoint> &Excluded) {
+  const Route *Of = C.E.Routes ? C.E.Routes->find(Flow.Service) : nullptr;
+  const std::uint64_t Hash = stableHash(Flow);
+  std::vector<std::tuple<bool, std::uint64_t, Endpoint>> Ranked;
+  for (const auto &[Agent, View] : C.E.Agents) {
+    if (contains(Excluded, Agent) || gone(C, Agent))
+      continue;
+    const bool Likely = Of && View.Report && serves(*Of, View.Report->Service);
+    Ranked.emplace_back(Likely, rendezvousRank(Agent, Hash), Agent);
+  }
+  std::sort(Ranked.begin(), Ranked.end());
+  std::vector<Endpoint> Order;
+  for (const auto &[Likely, Rank, Agent] : Ranked)
+    Order.push_back(Agent);
+  return Order;
+}
+
 void startSearch(Context &C, const Packet &P,
                  absl::Span<const std::uint8_t> Raw,
                  const std::vector<Endpoint> &Excluded) {
@@ -200,15 +247,8 @@
   ++C.E.Counters.Searches;
   Search &S = C.E.Searches[P.Flow];
   S.Started = C.Now;
-  S.AskDue = C.Now + AskInterval;
   hold(S, P, Raw);
-  const Bytes Key = encodeFlowKey(P.Flow);
-  for (const auto &[Agent, View] : C.E.Agents) {
-    if (contains(Excluded, Agent) || gone(C, Agent))
-      continue;
-    S.Waiting.push_back(Agent);
-    ask(C, Agent, TunnelKind::Locate, Key);
-  }
+  S.Later = searchOrder(C, P.Flow, Excluded);
   advance(C, P.Flow);
 }
 
@@ -234,10 +274,8 @@
   ++C.E.Counters.Found;
   note(C, "flow_found", Flow, "an agent holds it", Agent);
   C.E.Flows[Flow] = OwnedFlow{Agent, C.Now, true, 0, {}};
-  // Packets that were tried there have arrived already.
-  if (!contains(At->second.Tried, Agent))
-    for (const Bytes &Raw : At->second.Held)
-      forward(C, Agent, Raw);
+  for (const Bytes &Raw : At->second.Held)
+    forward(C, Agent, Raw);
   C.E.Searches.erase(At);
 }
 
@@ -342,11 +380,10 @@
     }
     if (C.Now < S.AskDue)
       continue;
-    S.AskDue = C.Now + AskInterval;
+    S.AskPause *= 2;
+    S.AskDue = C.Now + S.AskPause;
     std::erase_if(S.Waiting, [&C](const auto &A) { return gone(C, A); });
-    const Bytes Key = encodeFlowKey(Flow);
-    for (const Endpoint &Agent : S.Waiting)
-      ask(C, Agent, TunnelKind::Locate, Key);
+    askAll(C, Flow, S);
     if (S.Waiting.empty())
       Answered.push_back(Flow);
   }
@@ -438,12 +475,28 @@
     return onLoad(C, From, Decoded->Payload);
   if (Header.Kind == TunnelKind::Returned)
     return onReturned(C, From, Header.Detail, Decoded->Payload);
-  const auto Flow = decodeFlowKey(Decoded->Payload);
-  if (Header.Kind != TunnelKind::Located || !Flow) {
+  const auto Locations = decodeLocations(Decoded->Payload);
+  if (Header.Kind != TunnelKind::Located || !Locations) {
     ++E.Counters.Malformed;
     return;
   }
-  onLocated(C, From, Header.Detail, *Flow);
+  for (const FlowLocation &L : *Locations)
+    onLocated(C, From, L.Where, L.Flow);
+}
+
+void flush(EntryFlows &E, EntryEffects &Out) {
+  for (auto &[Agent, Flows] : std::exchange(E.Asks, {})) {
+    for (std::size_t From = 0; From < Flows.size();
+         From += MaxFlowsPerDatagram) {
+      const std::size_t To = std::min(Flows.size(), From + MaxFlowsPerDatagram);
+      const std::vector<FlowKey> Part(
+          Flows.begin() + static_cast<std::ptrdiff_t>(From),
+          Flows.begin() + static_cast<std::ptrdiff_t>(To));
+      Out.emplace_back(
+          SendTunnel{Agent, encodeTunnel({TunnelKind::Locate, Holding::No, 0},
+                                         encodeFlowKeys(Part))});
+    }
+  }
 }
 
 void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out) {
--- a/src/flow/placement.cpp
+++ b/src/flow/placement.cpp
@@ -1,7 +1,9 @@
 #include "jasminearch/flow/placement.h"
-#include <absl/hash/hash.h>
 #include <algorithm>
 #include <tuple>
+#include <utility>
+#include <vector>
+#include <xxhash.h>
 
 namespace jasminearch::flow {
 
@@ -38,22 +40,33 @@
          capacity(C);
 }
 
+std::uint64_t rendezvousRank(const Endpoint &Agent, std::uint64_t Hash) {
+  const std::uint64_t Parts[] = {Agent.Address, Agent.Port, Hash};
+  return XXH3_64bits(Parts, sizeof(Parts));
+}
+
 std::optional<std::size_t> place(absl::Span<const Candidate> Candidates,
                                  const std::string &Service, RequestKind Kind,
                                  std::uint64_t Hash,
                                  absl::Span<const Endpoint> Excluded) {
-  std::optional<std::size_t> Best;
-  std::tuple<bool, double, std::size_t> BestRank;
+  // Silent ones come last, so that they are chosen only without others.
+  std::vector<std::tuple<bool, std::uint64_t, std::size_t>> Ranked;
   for (std::size_t I = 0; I < Candidates.size(); ++I) {
     const Candidate &C = Candidates[I];
-    if (!eligible(C, Service) || contains(Excluded, C.Agent))
-      continue;
-    const std::tuple Rank(silent(C), loadWith(C, Kind),
-                          absl::HashOf(C.Agent, Hash));
-    if (Best && !(Rank < BestRank))
+    if (eligible(C, Service) && !contains(Excluded, C.Agent))
+      Ranked.emplace_back(!silent(C), rendezvousRank(C.Agent, Hash), I);
+  }
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  if (Ranked.size() > ChoicesPerFlow)
+    Ranked.resize(ChoicesPerFlow);
+  std::optional<std::size_t> Best;
+  std::pair<bool, double> BestLoad;
+  for (const auto &[Answers, Rank, I] : Ranked) {
+    const std::pair Load(!Answers, loadWith(Candidates[I], Kind));
+    if (Best && Load >= BestLoad)
       continue;
     Best = I;
-    BestRank = Rank;
+    BestLoad = Load;
   }
   return Best;
 }
--- a/src/flow/tunnel.cpp
+++ b/src/flow/tunnel.cpp
@@ -24,7 +24,7 @@
   boost::endian::big_uint16_buf_t CallerPort;
   boost::endian::big_uint16_buf_t ServicePort;
 };
-static_assert(sizeof(KeyLayout) == 12);
+static_assert(sizeof(KeyLayout) == FlowKeyBytes);
 
 tl::unexpected<Error> malformed(const std::string &Detail) {
   return fail(ErrorCode::PacketMalformed, Detail);
@@ -91,4 +91,53 @@
                  {Layout.ServiceAddress.value(), Layout.ServicePort.value()}};
 }
 
+Bytes encodeFlowKeys(const std::vector<FlowKey> &Keys) {
+  Bytes Encoded;
+  Encoded.reserve(Keys.size() * FlowKeyBytes);
+  for (const FlowKey &Key : Keys) {
+    const Bytes One = encodeFlowKey(Key);
+    Encoded.insert(Encoded.end(), One.begin(), One.end());
+  }
+  return Encoded;
+}
+
+Expected<std::vector<FlowKey>>
+decodeFlowKeys(absl::Span<const std::uint8_t> Payload) {
+  if (Payload.empty() || Payload.size() % FlowKeyBytes != 0 ||
+      Payload.size() > MaxFlowsPerDatagram * FlowKeyBytes)
+    return malformed("a list of flow keys has a wrong size");
+  std::vector<FlowKey> Keys;
+  for (std::size_t At = 0; At < Payload.size(); At += FlowKeyBytes)
+    Keys.push_back(*decodeFlowKey(Payload.subspan(At, FlowKeyBytes)));
+  return Keys;
+}
+
+Bytes encodeLocations(const std::vector<FlowLocation> &Locations) {
+  Bytes Encoded;
+  Encoded.reserve(Locations.size() * (FlowKeyBytes + 1));
+  for (const FlowLocation &L : Locations) {
+    const Bytes One = encodeFlowKey(L.Flow);
+    Encoded.insert(Encoded.end(), One.begin(), One.end());
+    Encoded.push_back(static_cast<std::uint8_t>(L.Where));
+  }
+  return Encoded;
+}
+
+Expected<std::vector<FlowLocation>>
+decodeLocations(absl::Span<const std::uint8_t> Payload) {
+  constexpr std::size_t Each = FlowKeyBytes + 1;
+  if (Payload.empty() || Payload.size() % Each != 0 ||
+      Payload.size() > MaxFlowsPerDatagram * Each)
+    return malformed("a list of flow locations has a wrong size");
+  std::vector<FlowLocation> All;
+  for (std::size_t At = 0; At < Payload.size(); At += Each) {
+    const std::uint8_t Where = Payload[At + FlowKeyBytes];
+    if (Where > static_cast<std::uint8_t>(Holding::Unsure))
+      return malformed("a flow location has an unknown value");
+    All.push_back({*decodeFlowKey(Payload.subspan(At, FlowKeyBytes)),
+                   static_cast<Holding>(Where)});
+  }
+  return All;
+}
+
 } // namespace jasminearch::flow
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(sendsReturnedPacketsBackUnmarked);
   CPPUNIT_TEST(dropsPacketsThatAnEarlierRunTagged);
   CPPUNIT_TEST(answersLocateTruthfully);
+  CPPUNIT_TEST(knowsAllFlowsOfAnUpstreamThatItSawStart);
   CPPUNIT_TEST(tellsWhoAskedOnceTheUpstreamAnswers);
   CPPUNIT_TEST(returnsPacketsOfALostUpstream);
   CPPUNIT_TEST(silenceCountsOnlyUnansweredPackets);
@@ -49,10 +50,13 @@
     return U;
   }
 
-  void begin() {
+  /// Begins with an agent that restarted beside a running upstream, or with one
+  /// that has heard its first announcement.
+  void begin(bool SawStart = false) {
     A = {};
     A.Options.RunId = 0xBEEF;
     A.Options.Codec = codec();
+    Number = SawStart ? 0 : 5;
     announce(A, announced(), Now);
     Out.clear();
   }
@@ -87,9 +91,11 @@
     Out.clear();
     onTunnel(A, EntryHost,
              encodeTunnel({TunnelKind::Locate, Holding::No, 0},
-                          encodeFlowKey({caller(Port), ServiceAddress})),
+                          encodeFlowKeys({{caller(Port), ServiceAddress}})),
              Now, Out);
-    return sent(TunnelKind::Located).at(0).Header.Detail;
+    return decodeLocations(sent(TunnelKind::Located).at(0).Payload)
+        ->at(0)
+        .Where;
   }
 
 public:
@@ -192,6 +198,21 @@
     CPPUNIT_ASSERT(located(1) == Holding::No);
   }
 
+  /// Guards against trying every flow of a lost upstream at all others.
+  void knowsAllFlowsOfAnUpstreamThatItSawStart() {
+    begin(true);
+    CPPUNIT_ASSERT(located(1) == Holding::No);
+    forward(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent(TunnelKind::Returned).size());
+    // The same after a restart of the upstream, but not after one that this
+    // run only hears of later.
+    UpstreamAnnounced Later = announced();
+    Later.StartedAtMs = 2000;
+    announce(A, Later, Now);
+    CPPUNIT_ASSERT(located(1) == Holding::Unsure);
+  }
+
   /// Guards against an entry host that keeps searching for a flow whose agent
   /// has restarted.
   void tellsWhoAskedOnceTheUpstreamAnswers() {
@@ -200,8 +221,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
     WirePacket Answer = data(1);
     upstreamSends(Answer);
-    CPPUNIT_ASSERT(sent(TunnelKind::Located).at(0).Header.Detail ==
-                   Holding::Yes);
+    CPPUNIT_ASSERT(
+        decodeLocations(sent(TunnelKind::Located).at(0).Payload)->at(0).Where ==
+        Holding::Yes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, only<ToCaller>(Out).size());
     upstreamSends(Answer);
     CPPUNIT_ASSERT(sent(TunnelKind::Located).empty());
--- a/tests/flow_entry_test.cpp
+++ b/tests/flow_entry_test.cpp
@@ -48,6 +48,7 @@
     for (std::uint32_t I = 1; I <= Agents; ++I)
       load(I, readyReport("orders"));
     tick(E, Now, Out);
+    flush(E, Out);
     Out.clear();
   }
 
@@ -58,14 +59,17 @@
   void packet(const WirePacket &P) {
     Out.clear();
     onCallerPacket(E, encode(P), Now, Out);
+    flush(E, Out);
   }
 
   void answer(std::uint32_t Agent, std::uint16_t Port, Holding What) {
     Out.clear();
-    onTunnel(E, agentAt(Agent),
-             encodeTunnel({TunnelKind::Located, What, 0},
-                          encodeFlowKey({caller(Port), ServiceAddress})),
-             Now, Out);
+    onTunnel(
+        E, agentAt(Agent),
+        encodeTunnel({TunnelKind::Located, Holding::No, 0},
+                     encodeLocations({{{caller(Port), ServiceAddress}, What}})),
+        Now, Out);
+    flush(E, Out);
   }
 
   void giveBack(std::uint32_t Agent, const WirePacket &P,
@@ -73,6 +77,7 @@
     Out.clear();
     onTunnel(E, agentAt(Agent),
              encodeTunnel({TunnelKind::Returned, Why, 0}, encode(P)), Now, Out);
+    flush(E, Out);
   }
 
   std::vector<SentTunnel> asked() const {
@@ -182,6 +187,7 @@
     Now += SearchLimit + 1ms;
     Out.clear();
     tick(E, Now, Out);
+    flush(E, Out);
     CPPUNIT_ASSERT(!wasReset());
     CPPUNIT_ASSERT(E.Searches.empty());
   }
@@ -193,6 +199,7 @@
     Now += AskInterval;
     Out.clear();
     tick(E, Now, Out);
+    flush(E, Out);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asked().size());
     CPPUNIT_ASSERT(asked().at(0).To == agentAt(2));
     answer(2, 1, Holding::Yes);
@@ -208,6 +215,7 @@
     Now += AskInterval;
     Out.clear();
     tick(E, Now, Out);
+    flush(E, Out);
     CPPUNIT_ASSERT(wasReset());
   }
 
@@ -299,10 +307,12 @@
     load(1, readyReport("orders"));
     Out.clear();
     tick(E, Now, Out);
+    flush(E, Out);
     CPPUNIT_ASSERT(forwards(Out).empty());
     load(2, readyReport("orders"));
     Out.clear();
     tick(E, Now, Out);
+    flush(E, Out);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, asked().size());
   }
@@ -318,6 +328,7 @@
     Now += ReportPatience;
     Out.clear();
     tick(E, Now, Out);
+    flush(E, Out);
     CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(1));
     CPPUNIT_ASSERT(placing(E));
   }
@@ -333,6 +344,7 @@
     load(1, readyReport("orders"));
     Out.clear();
     tick(E, Now, Out);
+    flush(E, Out);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
   }
 
