--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -44,9 +44,15 @@
 inline constexpr std::chrono::milliseconds UpstreamGone{3000};
 inline constexpr std::chrono::milliseconds UnansweredGone{1000};
 
-/// Time without packets after which a request counts as given up. Callers
-/// retransmit within 1.6 s, and upstreams answer within seconds.
-inline constexpr std::chrono::milliseconds RequestForgotten{8000};
+/// Time after which a request without an answer no longer counts as in flight.
+/// A full queue of an upstream that is five times slower than usual takes about
+/// as long. Callers that gave up leave such requests behind, and six of them
+/// would keep all openings from an upstream with two slots.
+inline constexpr std::chrono::milliseconds RequestForgotten{1000};
+
+/// An agent that has run for this long without hearing an upstream has none.
+/// Upstreams announce themselves every 1.2 s.
+inline constexpr std::chrono::milliseconds UpstreamAbsent{2000};
 
 /// Entry hosts that an agent tells apart at most.
 inline constexpr std::size_t MaxEntryTags = 0xFFFF;
@@ -106,6 +112,8 @@
   TimePoint LastSeen{};
   /// When the request without an answer was first delivered.
   std::optional<TimePoint> RequestAt;
+  /// That request counts in InFlight.
+  bool InFlight = false;
   /// Entry host that sent its last packet.
   Endpoint Entry;
   /// The upstream has answered on it.
@@ -139,6 +147,7 @@
 
 struct AgentFlows {
   AgentOptions Options;
+  TimePoint StartedAt{};
   std::optional<UpstreamAnnounced> Upstream;
   TimePoint AnnouncedAt{};
   /// This run of the agent heard the upstream's first announcement, so that no
@@ -223,6 +232,11 @@
 /// Runs timers; call it at least every 50 ms.
 void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out);
 
+/// \returns whether the upstream is known to hold no flow: there is none, it
+/// has said that it is gone, or it has neither announced itself nor answered
+/// for long.
+bool upstreamGone(const AgentFlows &A, TimePoint Now);
+
 /// \returns whether the upstream has room for another flow right away.
 bool hasRoom(const AgentFlows &A, TimePoint Now);
 
--- a/include/jasminearch/flow/agent_loop.h
+++ b/include/jasminearch/flow/agent_loop.h
@@ -42,8 +42,8 @@
   /// Takes no new flows from now on.
   void prepareStop();
 
-  /// \returns whether the upstream has said that it is gone.
-  bool withdrawn() const { return Withdrawn; }
+  /// \returns whether the upstream is known to hold no flow.
+  bool upstreamGone() const { return Gone; }
 
   /// Hands over an announcement; \p Done is called on the traffic thread.
   void announce(UpstreamAnnounced Value,
@@ -66,7 +66,7 @@
   AgentEffects Effects;
   Mailbox Mail;
   std::atomic<bool> Stopping{false};
-  std::atomic<bool> Withdrawn{false};
+  std::atomic<bool> Gone{false};
 };
 
 } // namespace jasminearch::flow
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -29,8 +29,10 @@
 inline constexpr std::chrono::milliseconds SubscribeInterval{400};
 
 /// Time between two Locate messages of one search to an agent that doesn't
-/// answer; doubles with each. Longer than a round trip between regions.
+/// answer; doubles with each up to MaxAskPause. Longer than a round trip
+/// between regions.
 inline constexpr std::chrono::milliseconds AskInterval{150};
+inline constexpr std::chrono::milliseconds MaxAskPause{600};
 
 /// Agents that a search asks first: those that rank first for the flow. Its
 /// upstream was chosen among the ChoicesPerFlow first that were ready then.
@@ -46,6 +48,12 @@
 /// wait for its answer.
 inline constexpr std::chrono::milliseconds AgentGone{3000};
 
+/// The same for an agent that has never reported to this host, or whose last
+/// report told of no upstream. Lists name
+/// agents that were taken away with their hosts for a while; one that only
+/// restarts reports again within a second.
+inline constexpr std::chrono::milliseconds AgentAbsent{1500};
+
 /// An agent that neither the control hosts list nor itself reports for this
 /// long is forgotten.
 inline constexpr std::chrono::milliseconds AgentForgotten{10'000};
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -75,17 +75,6 @@
   return A.Upstream && Now - A.UpstreamHeardAt < A.Options.Lease;
 }
 
-/// \returns whether the upstream is known to hold no flow any more: it has said
-/// so, or it has neither announced itself nor answered for long.
-bool gone(const AgentFlows &A, TimePoint Now) {
-  if (!A.Upstream)
-    return false;
-  if (A.Withdrawn)
-    return true;
-  return Now - A.UpstreamHeardAt >= UpstreamGone && A.UnansweredSince &&
-         Now - *A.UnansweredSince >= UnansweredGone;
-}
-
 /// \returns whether this agent knows every flow that its upstream holds.
 bool sawAllFlows(const AgentFlows &A) { return A.Upstream && A.SawStart; }
 
@@ -102,10 +91,20 @@
 
 /// The request in flight on \p F is over.
 void endRequest(AgentFlows &A, AgentFlow &F) {
-  if (!F.RequestAt)
-    return;
   F.RequestAt.reset();
-  --A.InFlight;
+  if (std::exchange(F.InFlight, false))
+    --A.InFlight;
+}
+
+/// Stops counting requests that have been without an answer for too long.
+void forgetRequests(AgentFlows &A, TimePoint Now) {
+  if (A.InFlight == 0)
+    return;
+  for (auto &[Key, F] : A.Flows)
+    if (F.InFlight && Now - *F.RequestAt >= RequestForgotten) {
+      F.InFlight = false;
+      --A.InFlight;
+    }
 }
 
 void end(AgentFlows &A, AgentFlow &F) {
@@ -129,6 +128,7 @@
     F.Ended = false;
   if (P.DataBytes != 0 && !F.RequestAt) {
     F.RequestAt = C.Now;
+    F.InFlight = true;
     ++C.A.InFlight;
     // The request that the opening stood for is here.
     if (std::exchange(F.FirstRequestDue, false) && !C.A.RecentOpenings.empty())
@@ -214,7 +214,7 @@
   if (P.Opens)
     return onOpening(C, Entry, Header.ServiceTag, P, Raw);
   const bool Unknown = !C.A.Flows.contains(P.Flow);
-  if (gone(C.A, C.Now) || (Unknown && sawAllFlows(C.A))) {
+  if (upstreamGone(C.A, C.Now) || (Unknown && sawAllFlows(C.A))) {
     ++C.A.Counters.NotHeld;
     return sendBack(C, Entry, Holding::No, Raw);
   }
@@ -223,7 +223,7 @@
 }
 
 Holding holding(const Context &C, const FlowKey &Flow) {
-  if (gone(C.A, C.Now))
+  if (upstreamGone(C.A, C.Now))
     return Holding::No;
   const auto At = C.A.Flows.find(Flow);
   if (At == C.A.Flows.end())
@@ -269,10 +269,10 @@
 
 void cleanUp(AgentFlows &A, TimePoint Now) {
   absl::erase_if(A.Flows, [&A, Now](auto &Item) {
-    // A request that its caller gave up would count as in flight for ever.
-    if (Now - Item.second.LastSeen >= RequestForgotten)
-      endRequest(A, Item.second);
-    return Now - Item.second.LastSeen >= AgentFlowForgotten;
+    if (Now - Item.second.LastSeen < AgentFlowForgotten)
+      return false;
+    endRequest(A, Item.second);
+    return true;
   });
   absl::erase_if(A.Subscribers,
                  [Now](const auto &Item) { return Now >= Item.second; });
@@ -396,6 +396,7 @@
   while (!A.RecentOpenings.empty() &&
          Now - A.RecentOpenings.front() >= FirstRequestWait)
     A.RecentOpenings.pop_front();
+  forgetRequests(A, Now);
   admitWaiting(C);
   if (Now >= A.CleanUpDue) {
     A.CleanUpDue = Now + std::chrono::seconds(1);
@@ -412,6 +413,15 @@
       sendToEntry(C, Entry, TunnelKind::Load, Holding::No, Payload);
 }
 
+bool upstreamGone(const AgentFlows &A, TimePoint Now) {
+  if (!A.Upstream)
+    return Now - A.StartedAt >= UpstreamAbsent;
+  if (A.Withdrawn)
+    return true;
+  return Now - A.UpstreamHeardAt >= UpstreamGone && A.UnansweredSince &&
+         Now - *A.UnansweredSince >= UnansweredGone;
+}
+
 bool hasRoom(const AgentFlows &A, TimePoint Now) {
   const std::uint64_t Expected = std::count_if(
       A.RecentOpenings.begin(), A.RecentOpenings.end(),
@@ -449,7 +459,7 @@
     if (F.Ended || Now - F.LastSeen >= FlowActiveWindow)
       continue;
     ++R.ActiveFlows;
-    R.Outstanding += F.RequestAt ? 1 : 0;
+    R.Outstanding += F.InFlight ? 1 : 0;
   }
   const auto Waiting = static_cast<std::uint32_t>(A.Waiting.size());
   R.ActiveFlows += Waiting;
--- a/src/flow/agent_loop.cpp
+++ b/src/flow/agent_loop.cpp
@@ -61,6 +61,7 @@
 AgentLoop::AgentLoop(AgentLoopOptions Given, const Clock &Time)
     : Options(std::move(Given)), Time(Time) {
   Flows.Options = Options.Agent;
+  Flows.StartedAt = Time.now();
 }
 
 Expected<std::unique_ptr<AgentLoop>> AgentLoop::open(AgentLoopOptions Options,
@@ -126,6 +127,7 @@
     if (Now >= TickDue) {
       TickDue = Now + std::chrono::milliseconds(detail::TickMilliseconds);
       tick(Flows, Now, Effects);
+      Gone = flow::upstreamGone(Flows, Now);
     }
     carryOut();
   }
@@ -144,7 +146,6 @@
   Mail.post([this, Value = std::move(Value), Done = std::move(Done)] {
     const auto Before = Flows.Upstream;
     const AnnounceOutcome Outcome = flow::announce(Flows, Value, Time.now());
-    Withdrawn = Flows.Withdrawn;
     const bool Changed = !Before || Before->Name != Value.Name ||
                          Before->State != Value.State ||
                          Before->StartedAtMs != Value.StartedAtMs;
@@ -164,7 +165,6 @@
                          std::function<void(AnnounceOutcome)> Done) {
   Mail.post([this, Name = std::move(Name), Done = std::move(Done)] {
     const AnnounceOutcome Outcome = flow::withdraw(Flows, Name);
-    Withdrawn = Flows.Withdrawn;
     logEvent(
         LogLevel::Info, "upstream_withdrawn",
         {{"upstream", Name}, {"taken", Outcome == AnnounceOutcome::Taken}});
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -68,8 +68,13 @@
 /// gone, or isn't known any more.
 bool gone(const Context &C, const Endpoint &Agent) {
   const auto At = C.E.Agents.find(Agent);
-  return At == C.E.Agents.end() ||
-         C.Now - std::max(At->second.ReportedAt, At->second.Since) > AgentGone;
+  if (At == C.E.Agents.end())
+    return true;
+  const AgentView &View = At->second;
+  if (!View.Report)
+    return C.Now - View.Since > AgentAbsent;
+  const bool HadUpstream = View.Report->State != UpstreamState::Unknown;
+  return C.Now - View.ReportedAt > (HadUpstream ? AgentGone : AgentAbsent);
 }
 
 std::vector<Candidate> candidates(const Context &C) {
@@ -307,10 +312,8 @@
     Search &S = At->second;
     std::erase(S.Waiting, Agent);
     std::erase(S.Unsure, Agent);
-    const bool LastTried = std::erase(S.Tried, Agent) != 0 && S.Tried.empty();
-    return LastTried && S.Waiting.empty() && S.Unsure.empty()
-               ? foundNowhere(C, P.Flow, S)
-               : advance(C, P.Flow);
+    std::erase(S.Tried, Agent);
+    return advance(C, P.Flow);
   }
   const auto At = C.E.Flows.find(P.Flow);
   if (At == C.E.Flows.end() || At->second.Agent != Agent)
@@ -368,6 +371,14 @@
   C.E.Waiting[Flow] = {Bytes(Raw.begin(), Raw.end()), C.Now};
 }
 
+void noteExpired(Context &C, const FlowKey &Flow, const Search &S) {
+  if (!S.Tried.empty())
+    return note(C, "search_expired", Flow, "its upstream gave no answer",
+                S.Tried.front());
+  note(C, "search_expired", Flow, "an agent gave no answer",
+       S.Waiting.empty() ? Endpoint{} : S.Waiting.front());
+}
+
 /// Asks agents again that haven't answered, and ends searches that took too
 /// long.
 void tickSearches(Context &C) {
@@ -380,8 +391,11 @@
     }
     if (C.Now < S.AskDue)
       continue;
-    S.AskPause *= 2;
+    S.AskPause = std::min<milliseconds>(2 * S.AskPause, MaxAskPause);
     S.AskDue = C.Now + S.AskPause;
+    // An upstream that gave no answer may be known to be gone by now.
+    if (S.Waiting.empty())
+      S.Waiting = std::exchange(S.Tried, {});
     std::erase_if(S.Waiting, [&C](const auto &A) { return gone(C, A); });
     askAll(C, Flow, S);
     if (S.Waiting.empty())
@@ -391,7 +405,7 @@
     advance(C, Flow);
   for (const FlowKey &Flow : Expired) {
     ++C.E.Counters.SearchExpired;
-    note(C, "search_expired", Flow, "not all agents answered in time");
+    noteExpired(C, Flow, C.E.Searches.at(Flow));
     C.E.Searches.erase(Flow);
   }
 }
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -24,12 +24,14 @@
   CPPUNIT_TEST(knowsAllFlowsOfAnUpstreamThatItSawStart);
   CPPUNIT_TEST(tellsWhoAskedOnceTheUpstreamAnswers);
   CPPUNIT_TEST(returnsPacketsOfALostUpstream);
+  CPPUNIT_TEST(answersForAnUpstreamThatNeverCame);
   CPPUNIT_TEST(silenceCountsOnlyUnansweredPackets);
   CPPUNIT_TEST(letsOpeningsWaitForRoom);
   CPPUNIT_TEST(returnsWaitingOpeningsWhenTheUpstreamDrains);
   CPPUNIT_TEST(declinesWhatWouldWaitTooLong);
   CPPUNIT_TEST(dropsOpeningsThatCallersGaveUp);
   CPPUNIT_TEST(freesRoomOfRequestsThatWereGivenUp);
+  CPPUNIT_TEST(servesAgainAfterCallersGaveUp);
   CPPUNIT_TEST(takesNothingNewWhileStopping);
   CPPUNIT_TEST(countsWhatItCannotRead);
   CPPUNIT_TEST_SUITE_END();
@@ -56,6 +58,7 @@
     A = {};
     A.Options.RunId = 0xBEEF;
     A.Options.Codec = codec();
+    A.StartedAt = Now;
     Number = SawStart ? 0 : 5;
     announce(A, announced(), Now);
     Out.clear();
@@ -239,6 +242,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent(TunnelKind::Returned).size());
   }
 
+  /// Guards against searches that an agent without an upstream holds up.
+  void answersForAnUpstreamThatNeverCame() {
+    begin();
+    A.Upstream.reset();
+    CPPUNIT_ASSERT(located(1) == Holding::Unsure);
+    Now += UpstreamAbsent;
+    CPPUNIT_ASSERT(located(1) == Holding::No);
+    forward(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent(TunnelKind::Returned).size());
+  }
+
   /// Guards against calling an idle upstream silent, which keeps new flows away
   /// from it for good.
   void silenceCountsOnlyUnansweredPackets() {
@@ -320,6 +334,24 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, A.InFlight);
   }
 
+  /// Load: all callers of an upstream give up in one moment, as after a loss of
+  /// all hosts, and leave requests behind that are never answered.
+  void servesAgainAfterCallersGaveUp() {
+    begin();
+    const auto Limit =
+        static_cast<std::uint16_t>(A.Upstream->Slots * InFlightPerSlot);
+    for (std::uint16_t Port = 1; Port <= Limit; ++Port)
+      busyFlow(Port);
+    Now += RequestForgotten;
+    announce(A, announced(), Now);
+    Out.clear();
+    tick(A, Now, Out);
+    forward(opening(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+    // The caller of an opening gives it up after 1.4 s.
+    CPPUNIT_ASSERT(RequestForgotten < 1400ms);
+  }
+
   void takesNothingNewWhileStopping() {
     begin();
     busyFlow(1);
--- a/tests/flow_entry_test.cpp
+++ b/tests/flow_entry_test.cpp
@@ -21,7 +21,10 @@
   CPPUNIT_TEST(doesNotResetBeforeEveryAgentAnswered);
   CPPUNIT_TEST(asksASilentAgentAgain);
   CPPUNIT_TEST(endsASearchWhenAnAgentLeaves);
+  CPPUNIT_TEST(doesNotWaitForAnAgentThatNeverReported);
   CPPUNIT_TEST(triesAgentsThatCannotTell);
+  CPPUNIT_TEST(asksAgainWhenATriedUpstreamIsSilent);
+  CPPUNIT_TEST(asksTheNextWaveAfterAReturn);
   CPPUNIT_TEST(searchesAgainAfterAReturn);
   CPPUNIT_TEST(looksForFlowsOfAnAgentThatIsGone);
   CPPUNIT_TEST(keepsFlowsWhereTheyAreWhenRoutesChange);
@@ -219,6 +222,26 @@
     CPPUNIT_ASSERT(wasReset());
   }
 
+  /// Guards against callers that wait while a list still names hosts that were
+  /// taken away.
+  void doesNotWaitForAnAgentThatNeverReported() {
+    begin(1);
+    listAgents(E, {agentAt(1), agentAt(2)}, true, Now, Out);
+    packet(data(1));
+    answer(1, 1, Holding::No);
+    CPPUNIT_ASSERT(!wasReset());
+    bool Ended = false;
+    for (Duration Waited{}; Waited <= SearchLimit && !Ended; Waited += 50ms) {
+      Now += 50ms;
+      load(1, readyReport("orders"));
+      Out.clear();
+      tick(E, Now, Out);
+      flush(E, Out);
+      Ended = wasReset();
+    }
+    CPPUNIT_ASSERT(Ended);
+  }
+
   /// Guards against losing flows whose agent has restarted.
   void triesAgentsThatCannotTell() {
     begin(3);
@@ -235,6 +258,39 @@
     CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(3));
   }
 
+  /// Guards against a search that hangs on an agent whose upstream is gone.
+  void asksAgainWhenATriedUpstreamIsSilent() {
+    begin(1);
+    packet(data(1));
+    answer(1, 1, Holding::Unsure);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    Now += MaxAskPause;
+    load(1, readyReport("orders"));
+    Out.clear();
+    tick(E, Now, Out);
+    flush(E, Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asked().size());
+    answer(1, 1, Holding::No);
+    CPPUNIT_ASSERT(wasReset());
+  }
+
+  /// Guards against a reset before all agents were asked.
+  void asksTheNextWaveAfterAReturn() {
+    constexpr std::uint32_t Agents = FirstWave + 1;
+    begin(Agents);
+    packet(data(1));
+    const auto First = asked();
+    CPPUNIT_ASSERT_EQUAL(FirstWave, First.size());
+    for (const SentTunnel &Ask : First) {
+      const std::uint32_t Agent = Ask.To.Address - agentAt(0).Address;
+      answer(Agent, 1,
+             Ask.To == First.front().To ? Holding::Unsure : Holding::No);
+    }
+    giveBack(First.front().To.Address - agentAt(0).Address, data(1));
+    CPPUNIT_ASSERT(!wasReset());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asked().size());
+  }
+
   /// Guards against a remembered owner that is wrong.
   void searchesAgainAfterAReturn() {
     begin(2);
