--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -234,6 +234,7 @@
 void onLocate(Context &C, const Endpoint &Entry,
               const std::vector<FlowKey> &Flows) {
   std::vector<FlowLocation> Answers;
+  Answers.reserve(Flows.size());
   for (const FlowKey &Flow : Flows)
     Answers.push_back({Flow, holding(C, Flow)});
   sendToEntry(C, Entry, TunnelKind::Located, Holding::No,
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -237,6 +237,7 @@
   }
   std::sort(Ranked.begin(), Ranked.end());
   std::vector<Endpoint> Order;
+  Order.reserve(Ranked.size());
   for (const auto &[Likely, Rank, Agent] : Ranked)
     Order.push_back(Agent);
   return Order;
--- a/src/flow/entry_loop.cpp
+++ b/src/flow/entry_loop.cpp
@@ -63,13 +63,13 @@
 } // namespace
 
 EntryLoop::EntryLoop(EntryLoopOptions Given, const Clock &Time)
-    : Options(std::move(Given)), Time(Time) {
+    : Options(Given), Time(Time) {
   Flows.Codec = Options.Codec;
 }
 
 Expected<std::unique_ptr<EntryLoop>> EntryLoop::open(EntryLoopOptions Options,
                                                      const Clock &Time) {
-  std::unique_ptr<EntryLoop> Loop(new EntryLoop(std::move(Options), Time));
+  std::unique_ptr<EntryLoop> Loop(new EntryLoop(Options, Time));
   auto Callers = net::bindUdp(Loop->Options.Callers, {});
   if (!Callers)
     return tl::unexpected(Callers.error());
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -243,7 +243,8 @@
   if (At == Links.end())
     return;
   FleetWorld &W = World;
-  const auto [To, Theirs] = At->second;
+  const std::string To = At->second.first;
+  const link::LinkId Theirs = At->second.second;
   W.Events.push_back([&W, From = Host, To, Theirs, Message] {
     if (W.cut(From, To) || W.Frozen.contains(To))
       return;
