--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -13,7 +13,7 @@
 /// Age as told when no quorum was ever shown.
 constexpr milliseconds NoQuorumAge{3'600'000};
 
-/// Version that marks a Served link as not subscribed to routes.
+/// \returns whether the sender of a Hello is sent the routes.
 bool takesRoutes(const Hello &From) { return From.Sender == Role::Entry; }
 
 } // namespace
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -205,7 +205,6 @@
   }
 
   void deliver() {
-    std::deque<std::function<void()>> Later;
     while (!Events.empty()) {
       const auto Event = std::move(Events.front());
       Events.pop_front();
