--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -35,6 +35,7 @@
   std::vector<Member> Members;
   const auto &Voters =
       Options.FirstVoters.empty() ? Options.Hosts : Options.FirstVoters;
+  Members.reserve(Voters.size());
   for (const std::string &Host : Voters)
     Members.push_back({Host, bootstrapStorageId(Options.Cluster, Host), true});
   std::sort(Members.begin(), Members.end(),
