Recover faster when all hosts lose power at once

Agents beside upstreams that no longer run answered "unsure" for 2 s and held up searches until they expired. And openings whose callers were late anyway delayed fresh ones. Change: an entry host asks an agent for the list of its flows when that is smaller than the questions; an agent checks whether anything listens where its upstream should be, at its start and when packets stay unanswered for 0.3 s, and reports when nothing is held; waiting openings are served in an order (can be on time, priority, newest; then late ones, oldest first), and 1.5 instead of 3 requests in flight a slot let openings through. Ruled out: the election (leader 0.16 s after the third control host's start, entry hosts place 0.06 s later).

--- a/fuzz/fuzz_tunnel.cpp
+++ b/fuzz/fuzz_tunnel.cpp
@@ -19,6 +19,12 @@
   if (const auto Key = decodeFlowKey(Input))
     if (*decodeFlowKey(encodeFlowKey(*Key)) != *Key)
       std::abort();
+  if (const auto Part = decodeFlowList(Input))
+    if (*decodeFlowList(encodeFlowList(*Part)) != *Part)
+      std::abort();
+  if (const auto Question = decodeListQuestion(Input))
+    if (*decodeListQuestion(encodeListQuestion(*Question)) != *Question)
+      std::abort();
   if (const auto Report = decodeLoadReport(Data, Size)) {
     const Bytes Again = encodeLoadReport(*Report);
     const auto Back = decodeLoadReport(Again.data(), Again.size());
--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -50,6 +50,13 @@
 /// would keep all openings from an upstream with two slots.
 inline constexpr std::chrono::milliseconds RequestForgotten{1000};
 
+/// An upstream that has left packets unanswered for this long is checked: does
+/// any process listen where it should be? Longer than a request usually takes.
+inline constexpr std::chrono::milliseconds UnansweredChecked{300};
+
+/// Time between two checks.
+inline constexpr std::chrono::milliseconds ListenCheckInterval{200};
+
 /// An agent that has run for this long without hearing an upstream has none.
 /// Upstreams announce themselves every 1.2 s.
 inline constexpr std::chrono::milliseconds UpstreamAbsent{2000};
@@ -60,12 +67,12 @@
 /// Requests in flight per slot up to which an upstream gets new flows at once.
 /// Beyond the slots requests wait in the upstream's own short queue, and beyond
 /// that it sheds them.
-inline constexpr std::uint32_t InFlightPerSlot = 3;
+inline constexpr double InFlightPerSlot = 1.5;
 
-/// Time that an opening may wait. The caller gives it up after 1.4 s. One that
-/// would wait longer is declined at once, so that the entry host can try
-/// another upstream.
-inline constexpr std::chrono::milliseconds OpeningPatience{1200};
+/// Age up to which an opening is delivered. The caller gives it up after 1.4 s
+/// and needs a round trip to answer. One that would have to wait longer is
+/// declined at once, so that the entry host can try another upstream.
+inline constexpr std::chrono::milliseconds OpeningPatience{1300};
 
 /// Response time that is assumed before the first response.
 inline constexpr std::chrono::milliseconds ResponseTimeGuess{50};
@@ -128,7 +135,12 @@
   FlowKey Flow;
   Endpoint Entry;
   Bytes Raw;
-  TimePoint Since{};
+  /// When the caller sent its first copy.
+  TimePoint SentAt{};
+  /// Until when a response is within the route's latency objective.
+  TimePoint OnTimeUntil{};
+  /// 0 is the most urgent.
+  std::uint8_t Priority = 0;
 };
 
 struct AgentCounters {
@@ -155,6 +167,12 @@
   bool SawStart = false;
   /// The upstream has said that it is gone.
   bool Withdrawn = false;
+  /// No process listens where the upstream should be.
+  bool NotListening = false;
+  /// A CheckListening is under way, and nothing has been heard of the upstream
+  /// since.
+  bool ListenCheckOpen = false;
+  TimePoint ListenCheckDue{};
   /// The agent is about to stop and takes no new flows.
   bool Stopping = false;
   /// Last announcement or other sign of life.
@@ -170,8 +188,8 @@
   TimePoint CleanUpDue{};
   /// Delivery of the first packet since the upstream last sent something.
   std::optional<TimePoint> UnansweredSince;
-  /// Opening packets in order of arrival.
-  std::deque<WaitingOpening> Waiting;
+  /// Opening packets in no order; nextWaiting() tells which one is next.
+  std::vector<WaitingOpening> Waiting;
   /// Flows with a request in flight, and recent openings whose first request is
   /// expected; kept with Flows.
   std::uint32_t InFlight = 0;
@@ -193,6 +211,9 @@
   Endpoint Caller;
   Bytes Raw;
 };
+/// Asks whether any process listens where the upstream should be;
+/// onListenChecked() takes the answer.
+struct CheckListening {};
 /// A decision that a log line tells.
 struct AgentDecision {
   std::string_view Event;
@@ -203,7 +224,8 @@
   std::chrono::milliseconds AnnouncementAge{0};
 };
 
-using AgentEffect = std::variant<ToEntry, ToUpstream, ToCaller, AgentDecision>;
+using AgentEffect =
+    std::variant<ToEntry, ToUpstream, ToCaller, CheckListening, AgentDecision>;
 using AgentEffects = std::vector<AgentEffect>;
 
 /// Takes what the upstream says of itself, unless something newer is known.
@@ -229,17 +251,34 @@
 void onUpstreamPacket(AgentFlows &A, absl::Span<const std::uint8_t> Raw,
                       TimePoint Now, AgentEffects &Out);
 
+/// Takes the answer to CheckListening. \p Refused means that no process listens
+/// there, so that no flow is held; what the upstream sends later outweighs it.
+/// \returns whether the upstream counts as gone since this answer.
+bool onListenChecked(AgentFlows &A, bool Refused);
+
 /// Runs timers; call it at least every 50 ms.
 void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out);
 
-/// \returns whether the upstream is known to hold no flow: there is none, it
-/// has said that it is gone, or it has neither announced itself nor answered
-/// for long.
+/// \returns whether the upstream is known to hold no flow: there is none, its
+/// process doesn't run, it has said that it is gone, or it has neither
+/// announced itself nor answered for long.
 bool upstreamGone(const AgentFlows &A, TimePoint Now);
 
 /// \returns whether the upstream has room for another flow right away.
 bool hasRoom(const AgentFlows &A, TimePoint Now);
 
+/// \returns the index in Waiting of the opening to deliver next. Those whose
+/// response can still be within the latency objective come first, the newest of
+/// them before older ones: under overload that keeps a part of the callers on
+/// time where any other order makes all of them late. Then come late ones,
+/// oldest first. Within each group priority goes first. Complexity: linear.
+std::size_t nextWaiting(const AgentFlows &A, TimePoint Now);
+
+/// \returns the index in Waiting of the opening to give up when too many wait:
+/// the late one of the least priority that the caller gives up last, so that it
+/// has time to try elsewhere.
+std::size_t lastWaiting(const AgentFlows &A, TimePoint Now);
+
 /// \returns how long another opening would wait: by Little's law the upstream
 /// takes as many requests in one response time as it has in flight.
 std::chrono::milliseconds expectedWait(const AgentFlows &A);
--- a/include/jasminearch/flow/agent_loop.h
+++ b/include/jasminearch/flow/agent_loop.h
@@ -5,6 +5,7 @@
 #include "jasminearch/error.h"
 #include "jasminearch/flow/agent_flows.h"
 #include "jasminearch/flow/mailbox.h"
+#include "jasminearch/net/listen_check.h"
 #include "jasminearch/net/udp_socket.h"
 #include "jasminearch/types.h"
 #include <atomic>
@@ -57,11 +58,13 @@
   AgentLoop(AgentLoopOptions Options, const Clock &Time);
   void drain(const net::UdpSocket &Socket, bool FromUpstream);
   void carryOut();
+  void finishListenCheck();
 
   AgentLoopOptions Options;
   const Clock &Time;
   net::UdpSocket Tunnel;
   net::UdpSocket Outbound;
+  net::ListenCheck Check;
   AgentFlows Flows;
   AgentEffects Effects;
   Mailbox Mail;
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -85,6 +85,25 @@
 /// timeout of upstreams, so that they end a flow first.
 inline constexpr std::chrono::milliseconds FlowForgotten{60'000};
 
+/// Searches from which on a list of an agent's flows is asked for: questions
+/// for fewer flows fit into one small datagram.
+inline constexpr std::size_t ListFromSearches = 8;
+
+/// Time for which an agent's list of flows is kept: no search lasts longer.
+inline constexpr std::chrono::milliseconds FlowListKept = SearchLimit;
+
+/// All flows that an agent held when it was asked.
+struct FlowList {
+  std::uint32_t Question = 0;
+  TimePoint AskedAt{};
+  /// Parts that have arrived, by number; empty until the first one.
+  std::vector<bool> Arrived;
+  std::size_t PartsMissing = 1;
+  /// Where flows are that aren't listed.
+  Holding Others = Holding::No;
+  absl::flat_hash_map<FlowKey, Holding> Flows;
+};
+
 /// What an entry host knows of an agent.
 struct AgentView {
   std::optional<LoadReport> Report;
@@ -95,6 +114,9 @@
   TimePoint Since{};
   /// Flows placed there since its last report.
   std::uint32_t PlacedSince = 0;
+  /// The newest complete list, and the one that is arriving.
+  std::optional<FlowList> Listed;
+  std::optional<FlowList> Arriving;
 };
 
 /// Where an entry host believes a flow to be.
@@ -166,6 +188,7 @@
   bool Listed = false;
   /// Flows to ask agents for with the next flush().
   absl::flat_hash_map<Endpoint, std::vector<FlowKey>> Asks;
+  std::uint32_t ListQuestions = 0;
   TimePoint SubscribeDue{};
   TimePoint CleanUpDue{};
   EntryCounters Counters;
@@ -214,8 +237,11 @@
               EntryEffects &Out);
 
 /// Sends what is best sent together; call it after each batch of datagrams.
-/// When many flows are looked for at once, each agent gets one datagram.
-void flush(EntryFlows &E, EntryEffects &Out);
+/// When many flows are looked for at once, each agent gets one datagram, and an
+/// agent that holds fewer flows than are looked for is asked for all of them:
+/// after a loss of power thousands of lost flows would fill the links with
+/// questions.
+void flush(EntryFlows &E, TimePoint Now, EntryEffects &Out);
 
 /// Runs timers; call it at least every 50 ms.
 void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out);
--- a/include/jasminearch/flow/load_report.h
+++ b/include/jasminearch/flow/load_report.h
@@ -40,6 +40,8 @@
   /// Time since the first unanswered packet was delivered; zero if the upstream
   /// has sent something since the last delivery.
   std::chrono::milliseconds Silent{0};
+  /// The upstream is known to hold no flow, so that nobody has to ask.
+  bool HoldsNothing = false;
   /// Recent mean time from request to first data of the response.
   std::chrono::microseconds ResponseTime{0};
 
--- a/include/jasminearch/flow/packet.h
+++ b/include/jasminearch/flow/packet.h
@@ -4,6 +4,7 @@
 #include "jasminearch/error.h"
 #include "jasminearch/types.h"
 #include <absl/types/span.h>
+#include <chrono>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -48,6 +49,8 @@
   /// Next byte expected from the other end; in an opening packet the number of
   /// earlier copies.
   std::uint32_t Acknowledged = 0;
+  /// Opening packets: time since the caller sent the first copy.
+  std::chrono::milliseconds OpeningAge{0};
   /// Value that setTag() put into the packet; an upstream returns it unchanged.
   std::uint32_t Tag = 0;
   std::size_t DataBytes = 0;
--- a/include/jasminearch/flow/tunnel.h
+++ b/include/jasminearch/flow/tunnel.h
@@ -5,6 +5,7 @@
 #include "jasminearch/flow/packet.h"
 #include "jasminearch/types.h"
 #include <absl/types/span.h>
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -28,6 +29,10 @@
   Subscribe = 5,
   /// Agent to entry: a LoadReport.
   Load = 6,
+  /// Entry to agent: asks for all flows that the upstream holds.
+  ListFlows = 7,
+  /// Agent to entry: a FlowListPart.
+  FlowList = 8,
 };
 
 /// Answers to Locate, and the reason of Returned.
@@ -46,14 +51,21 @@
 struct TunnelHeader {
   TunnelKind Kind = TunnelKind::Forward;
   Holding Detail = Holding::No;
-  /// Forward of an opening packet: serviceTag() of the service.
+  // The others are for Forward of an opening packet.
+  /// serviceTag() of the service.
   std::uint32_t ServiceTag = 0;
+  /// Priority of its route; 0 is the most urgent.
+  std::uint8_t Priority = 0;
+  /// Time since the caller sent its first copy.
+  std::chrono::milliseconds Age{0};
+  /// Latency objective of its route.
+  std::chrono::milliseconds Objective{0};
 
   auto operator<=>(const TunnelHeader &) const = default;
 };
 
 /// Bytes of an encoded header.
-inline constexpr std::size_t TunnelHeaderBytes = 8;
+inline constexpr std::size_t TunnelHeaderBytes = 12;
 
 /// A decoded datagram; Payload points into it.
 struct TunnelDatagram {
@@ -100,6 +112,29 @@
 Expected<std::vector<FlowLocation>>
 decodeLocations(absl::Span<const std::uint8_t> Payload);
 
+/// One datagram of the answer to ListFlows.
+struct FlowListPart {
+  /// Number of the question that it answers.
+  std::uint32_t Question = 0;
+  std::uint16_t Part = 0;
+  /// Parts of the whole list, at least one.
+  std::uint16_t Parts = 1;
+  /// Where flows are that no part lists: No, or Unsure.
+  Holding Others = Holding::No;
+  /// At most MaxFlowsPerDatagram.
+  std::vector<FlowLocation> Flows;
+
+  bool operator==(const FlowListPart &) const = default;
+};
+
+Bytes encodeFlowList(const FlowListPart &Part);
+Expected<FlowListPart> decodeFlowList(absl::Span<const std::uint8_t> Payload);
+
+/// Payload of ListFlows: the number of the question.
+Bytes encodeListQuestion(std::uint32_t Question);
+Expected<std::uint32_t>
+decodeListQuestion(absl::Span<const std::uint8_t> Payload);
+
 } // namespace jasminearch::flow
 
 #endif // JASMINEARCH_FLOW_TUNNEL_H
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -1,5 +1,6 @@
 #include "jasminearch/flow/agent_flows.h"
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace jasminearch::flow {
@@ -72,7 +73,8 @@
 
 /// \returns whether the last sign of life of the upstream is recent.
 bool leased(const AgentFlows &A, TimePoint Now) {
-  return A.Upstream && Now - A.UpstreamHeardAt < A.Options.Lease;
+  return A.Upstream && !A.NotListening &&
+         Now - A.UpstreamHeardAt < A.Options.Lease;
 }
 
 /// \returns whether this agent knows every flow that its upstream holds.
@@ -147,50 +149,86 @@
   deliver(C, Entry, P, Raw);
 }
 
-/// Lets an opening wait until the upstream has room, or declines it.
-void waitForRoom(Context &C, const Endpoint &Entry, const Packet &P,
-                 absl::Span<const std::uint8_t> Raw) {
+/// \returns the recent response time, or a guess before the first response.
+std::chrono::duration<double, std::milli> responseTime(const AgentFlows &A) {
+  if (A.ResponseTime.count() <= 0)
+    return ResponseTimeGuess;
+  return A.ResponseTime;
+}
+
+/// \returns whether a response to \p W can still be on time.
+bool onTime(const AgentFlows &A, const WaitingOpening &W, TimePoint Now) {
+  return Now + duration_cast<milliseconds>(responseTime(A)) < W.OnTimeUntil;
+}
+
+/// Takes an opening out of Waiting.
+WaitingOpening takeWaiting(AgentFlows &A, std::size_t Index) {
+  WaitingOpening W = std::exchange(A.Waiting[Index], {});
+  A.Waiting[Index] = std::move(A.Waiting.back());
+  A.Waiting.pop_back();
+  return W;
+}
+
+/// Lets an opening wait until the upstream has room. When more wait than can be
+/// served before their callers give up, the last one is declined.
+void waitForRoom(Context &C, const Endpoint &Entry, const TunnelHeader &Header,
+                 const Packet &P, absl::Span<const std::uint8_t> Raw) {
   const auto IsCopy = [&P](const WaitingOpening &W) {
     return W.Flow == P.Flow;
   };
   if (std::any_of(C.A.Waiting.begin(), C.A.Waiting.end(), IsCopy))
     return;
-  if (expectedWait(C.A) >= OpeningPatience) {
-    ++C.A.Counters.OpeningsDeclined;
-    note(C, "opening_declined", P.Flow, "too many openings wait");
-    return sendBack(C, Entry, Holding::NotReady, Raw);
-  }
   ++C.A.Counters.OpeningsWaited;
   note(C, "opening_waits", P.Flow, "requests in flight fill the upstream");
-  C.A.Waiting.push_back({P.Flow, Entry, Bytes(Raw.begin(), Raw.end()), C.Now});
+  const TimePoint SentAt = C.Now - Header.Age;
+  C.A.Waiting.push_back({P.Flow, Entry, Bytes(Raw.begin(), Raw.end()), SentAt,
+                         SentAt + Header.Objective, Header.Priority});
+  if (expectedWait(C.A) < OpeningPatience)
+    return;
+  const WaitingOpening W = takeWaiting(C.A, lastWaiting(C.A, C.Now));
+  ++C.A.Counters.OpeningsDeclined;
+  note(C, "opening_declined", W.Flow, "too many openings wait");
+  sendBack(C, W.Entry, Holding::NotReady, W.Raw);
 }
 
-/// Delivers openings while there is room, oldest first.
+/// Drops the openings that their callers have given up.
+void expireWaiting(Context &C) {
+  for (std::size_t I = 0; I < C.A.Waiting.size();) {
+    if (C.Now - C.A.Waiting[I].SentAt < OpeningPatience) {
+      ++I;
+      continue;
+    }
+    const WaitingOpening W = takeWaiting(C.A, I);
+    ++C.A.Counters.OpeningsExpired;
+    note(C, "opening_expired", W.Flow, "the caller has given it up");
+  }
+}
+
+/// Sends all waiting openings back, so that they go to another upstream.
+void returnWaiting(Context &C) {
+  for (const WaitingOpening &W : std::exchange(C.A.Waiting, {}))
+    sendBack(C, W.Entry, Holding::NotReady, W.Raw);
+}
+
+/// Delivers openings while there is room.
 void admitWaiting(Context &C) {
-  while (!C.A.Waiting.empty()) {
-    const WaitingOpening &First = C.A.Waiting.front();
-    const bool Expired = C.Now - First.Since >= OpeningPatience;
-    const bool Serves = leased(C.A, C.Now) && !C.A.Stopping &&
-                        C.A.Upstream->State == UpstreamState::Ready;
-    if (!Expired && Serves && !hasRoom(C.A, C.Now))
-      return;
-    const WaitingOpening W = std::move(C.A.Waiting.front());
-    C.A.Waiting.pop_front();
-    const auto P = C.A.Options.Codec.Decode(W.Raw, Direction::FromCaller);
-    if (Expired || !P) {
-      ++C.A.Counters.OpeningsExpired;
-      note(C, "opening_expired", W.Flow, "the caller has given it up");
-    } else if (!Serves) {
-      sendBack(C, W.Entry, Holding::NotReady, W.Raw);
-    } else {
+  if (C.A.Waiting.empty())
+    return;
+  expireWaiting(C);
+  const bool Serves = leased(C.A, C.Now) && !C.A.Stopping &&
+                      C.A.Upstream->State == UpstreamState::Ready;
+  if (!Serves)
+    return returnWaiting(C);
+  while (!C.A.Waiting.empty() && hasRoom(C.A, C.Now)) {
+    const WaitingOpening W = takeWaiting(C.A, nextWaiting(C.A, C.Now));
+    if (const auto P = C.A.Options.Codec.Decode(W.Raw, Direction::FromCaller))
       deliverOpening(C, W.Entry, *P, W.Raw);
-    }
   }
 }
 
-void onOpening(Context &C, const Endpoint &Entry, std::uint32_t ServiceTag,
+void onOpening(Context &C, const Endpoint &Entry, const TunnelHeader &Header,
                const Packet &P, absl::Span<const std::uint8_t> Raw) {
-  if (!takesNewFlows(C.A, ServiceTag, C.Now)) {
+  if (!takesNewFlows(C.A, Header.ServiceTag, C.Now)) {
     ++C.A.Counters.OpeningsDeclined;
     note(C, "opening_declined", P.Flow,
          leased(C.A, C.Now) ? "draining or of another service"
@@ -200,7 +238,7 @@
   const bool Known = C.A.Flows.contains(P.Flow);
   if (Known || (C.A.Waiting.empty() && hasRoom(C.A, C.Now)))
     return deliverOpening(C, Entry, P, Raw);
-  waitForRoom(C, Entry, P, Raw);
+  waitForRoom(C, Entry, Header, P, Raw);
 }
 
 void onForward(Context &C, const Endpoint &Entry, const TunnelHeader &Header,
@@ -212,7 +250,7 @@
   }
   const Packet &P = *Decoded;
   if (P.Opens)
-    return onOpening(C, Entry, Header.ServiceTag, P, Raw);
+    return onOpening(C, Entry, Header, P, Raw);
   const bool Unknown = !C.A.Flows.contains(P.Flow);
   if (upstreamGone(C.A, C.Now) || (Unknown && sawAllFlows(C.A))) {
     ++C.A.Counters.NotHeld;
@@ -241,6 +279,31 @@
               encodeLocations(Answers));
 }
 
+/// Lists all flows that the upstream may hold.
+void onListFlows(Context &C, const Endpoint &Entry, std::uint32_t Question) {
+  FlowListPart Part;
+  Part.Question = Question;
+  Part.Others = sawAllFlows(C.A) || upstreamGone(C.A, C.Now) ? Holding::No
+                                                             : Holding::Unsure;
+  std::vector<FlowLocation> All;
+  All.reserve(C.A.Flows.size());
+  for (const auto &[Flow, F] : C.A.Flows)
+    if (const Holding Where = holding(C, Flow); Where != Part.Others)
+      All.push_back({Flow, Where});
+  const std::size_t Most = MaxFlowsPerDatagram;
+  Part.Parts = static_cast<std::uint16_t>(
+      std::max<std::size_t>(1, (All.size() + Most - 1) / Most));
+  for (; Part.Part < Part.Parts; ++Part.Part) {
+    const auto From =
+        All.begin() + static_cast<std::ptrdiff_t>(Part.Part * Most);
+    const auto Left = static_cast<std::size_t>(All.end() - From);
+    Part.Flows.assign(From,
+                      From + static_cast<std::ptrdiff_t>(std::min(Most, Left)));
+    sendToEntry(C, Entry, TunnelKind::FlowList, Holding::No,
+                encodeFlowList(Part));
+  }
+}
+
 void onReturned(Context &C, absl::Span<const std::uint8_t> Raw) {
   ++C.A.Counters.ReturnedByUpstream;
   const auto Decoded = C.A.Options.Codec.Decode(Raw, Direction::FromCaller);
@@ -268,6 +331,20 @@
   endRequest(A, F);
 }
 
+/// Checks an upstream that hasn't been heard in this run, or leaves packets
+/// unanswered.
+void checkListening(Context &C) {
+  AgentFlows &A = C.A;
+  const bool Unanswered =
+      A.UnansweredSince && C.Now - *A.UnansweredSince >= UnansweredChecked;
+  if (A.NotListening || A.Withdrawn || (A.Upstream && !Unanswered) ||
+      C.Now < A.ListenCheckDue)
+    return;
+  A.ListenCheckDue = C.Now + ListenCheckInterval;
+  A.ListenCheckOpen = true;
+  C.Out.emplace_back(CheckListening{});
+}
+
 void cleanUp(AgentFlows &A, TimePoint Now) {
   absl::erase_if(A.Flows, [&A, Now](auto &Item) {
     if (Now - Item.second.LastSeen < AgentFlowForgotten)
@@ -304,7 +381,7 @@
   }
   A.Upstream = Value;
   A.SawStart = A.SawStart || Value.Number <= FirstAnnouncement;
-  A.Withdrawn = false;
+  A.Withdrawn = A.NotListening = A.ListenCheckOpen = false;
   A.AnnouncedAt = A.UpstreamHeardAt = Now;
   A.ReportDue = TimePoint{};
   return AnnounceOutcome::Taken;
@@ -347,6 +424,10 @@
     if (const auto Flows = decodeFlowKeys(Decoded->Payload))
       return onLocate(C, From, *Flows);
     break;
+  case TunnelKind::ListFlows:
+    if (const auto Question = decodeListQuestion(Decoded->Payload))
+      return onListFlows(C, From, *Question);
+    break;
   case TunnelKind::Subscribe: {
     const auto [At, New] = A.Subscribers.try_emplace(From);
     At->second = Now + SubscriptionTime;
@@ -369,6 +450,7 @@
     return;
   }
   A.UnansweredSince.reset();
+  A.NotListening = A.ListenCheckOpen = false;
   if (Decoded->Returned)
     return onReturned(C, Raw);
   const Packet &P = *Decoded;
@@ -392,8 +474,17 @@
   admitWaiting(C);
 }
 
+bool onListenChecked(AgentFlows &A, bool Refused) {
+  if (!std::exchange(A.ListenCheckOpen, false) || !Refused)
+    return false;
+  A.NotListening = true;
+  A.ReportDue = TimePoint{};
+  return true;
+}
+
 void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out) {
   Context C{A, Now, Out};
+  checkListening(C);
   while (!A.RecentOpenings.empty() &&
          Now - A.RecentOpenings.front() >= FirstRequestWait)
     A.RecentOpenings.pop_front();
@@ -415,6 +506,8 @@
 }
 
 bool upstreamGone(const AgentFlows &A, TimePoint Now) {
+  if (A.NotListening)
+    return true;
   if (!A.Upstream)
     return Now - A.StartedAt >= UpstreamAbsent;
   if (A.Withdrawn)
@@ -428,17 +521,36 @@
       A.RecentOpenings.begin(), A.RecentOpenings.end(),
       [Now](TimePoint At) { return Now - At < FirstRequestWait; });
   const std::uint32_t Slots = A.Upstream ? A.Upstream->Slots : 1;
-  return A.InFlight + Expected < std::uint64_t{Slots} * InFlightPerSlot;
+  return static_cast<double>(A.InFlight + Expected) < Slots * InFlightPerSlot;
+}
+
+std::size_t nextWaiting(const AgentFlows &A, TimePoint Now) {
+  const auto Rank = [&](const WaitingOpening &W) {
+    const bool OnTime = onTime(A, W, Now);
+    const Duration Age = Now - W.SentAt;
+    return std::tuple(!OnTime, W.Priority, OnTime ? Age : -Age);
+  };
+  const auto Best = std::min_element(
+      A.Waiting.begin(), A.Waiting.end(),
+      [&](const auto &X, const auto &Y) { return Rank(X) < Rank(Y); });
+  return static_cast<std::size_t>(Best - A.Waiting.begin());
+}
+
+std::size_t lastWaiting(const AgentFlows &A, TimePoint Now) {
+  const auto Rank = [&](const WaitingOpening &W) {
+    return std::tuple(!onTime(A, W, Now), W.Priority, W.SentAt);
+  };
+  const auto Last = std::max_element(
+      A.Waiting.begin(), A.Waiting.end(),
+      [&](const auto &X, const auto &Y) { return Rank(X) < Rank(Y); });
+  return static_cast<std::size_t>(Last - A.Waiting.begin());
 }
 
 milliseconds expectedWait(const AgentFlows &A) {
   const std::uint32_t Slots = A.Upstream ? A.Upstream->Slots : 1;
-  std::chrono::duration<double, std::milli> Response = A.ResponseTime;
-  if (Response.count() <= 0)
-    Response = ResponseTimeGuess;
-  const double Rounds = static_cast<double>(A.Waiting.size()) /
-                        static_cast<double>(Slots * InFlightPerSlot);
-  return duration_cast<milliseconds>(Rounds * Response);
+  const double Rounds =
+      static_cast<double>(A.Waiting.size()) / (Slots * InFlightPerSlot);
+  return duration_cast<milliseconds>(Rounds * responseTime(A));
 }
 
 LoadReport report(const AgentFlows &A, TimePoint Now) {
@@ -446,6 +558,7 @@
   R.RunId = A.Options.RunId;
   R.Number = A.ReportNumber;
   R.DataCentre = A.Options.DataCentre;
+  R.HoldsNothing = upstreamGone(A, Now);
   if (A.Upstream) {
     const UpstreamAnnounced &U = *A.Upstream;
     R.Service = U.Service;
--- a/src/flow/agent_loop.cpp
+++ b/src/flow/agent_loop.cpp
@@ -102,6 +102,8 @@
            {P->Caller.Address, Options.CallerPort});
     else if (const auto *E = std::get_if<ToEntry>(&Effect))
       send(B.FromTunnel, Tunnel, E->Datagram, E->To);
+    else if (std::holds_alternative<CheckListening>(Effect))
+      Check.start(Options.Upstream);
     else if (const auto *D = std::get_if<AgentDecision>(&Effect))
       write(Log, *D, Now);
   }
@@ -110,12 +112,21 @@
   B.FromTunnel.flush(Tunnel);
 }
 
+void AgentLoop::finishListenCheck() {
+  const bool Refused = Check.finish() == net::Listening::No;
+  if (onListenChecked(Flows, Refused))
+    logEvent(LogLevel::Warning, "upstream_not_listening",
+             {{"upstream", toString(Options.Upstream)},
+              {"announced", Flows.Upstream.has_value()}});
+}
+
 void AgentLoop::run() {
   TimePoint TickDue{};
   while (!Stopping) {
     pollfd Waits[] = {{Tunnel.descriptor(), POLLIN, 0},
                       {Outbound.descriptor(), POLLIN, 0},
-                      {Mail.descriptor(), POLLIN, 0}};
+                      {Mail.descriptor(), POLLIN, 0},
+                      {Check.descriptor(), POLLOUT, 0}};
     poll(Waits, std::size(Waits), detail::TickMilliseconds);
     if (Waits[2].revents != 0)
       Mail.run();
@@ -123,6 +134,8 @@
       drain(Outbound, true);
     if (Waits[0].revents != 0)
       drain(Tunnel, false);
+    if (Waits[3].revents != 0)
+      finishListenCheck();
     const TimePoint Now = Time.now();
     if (Now >= TickDue) {
       TickDue = Now + std::chrono::milliseconds(detail::TickMilliseconds);
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -52,10 +52,20 @@
 }
 
 void forward(Context &C, const Endpoint &Agent,
-             absl::Span<const std::uint8_t> Raw, std::uint32_t ServiceTag = 0) {
+             absl::Span<const std::uint8_t> Raw) {
   C.Out.emplace_back(SendTunnel{
-      Agent,
-      encodeTunnel({TunnelKind::Forward, Holding::No, ServiceTag}, Raw)});
+      Agent, encodeTunnel({TunnelKind::Forward, Holding::No, 0}, Raw)});
+}
+
+/// Forwards an opening packet with what the agent needs to order it.
+void forwardOpening(Context &C, const Endpoint &Agent, const Packet &P,
+                    absl::Span<const std::uint8_t> Raw, const Route &Of,
+                    std::uint32_t ServiceTag) {
+  TunnelHeader Header{TunnelKind::Forward, Holding::No, ServiceTag};
+  Header.Priority = static_cast<std::uint8_t>(std::clamp(Of.Priority, 0, 0xFF));
+  Header.Age = P.OpeningAge;
+  Header.Objective = Of.LatencyObjective;
+  C.Out.emplace_back(SendTunnel{Agent, encodeTunnel(Header, Raw)});
 }
 
 void ask(Context &C, const Endpoint &Agent, TunnelKind Kind,
@@ -64,8 +74,9 @@
       SendTunnel{Agent, encodeTunnel({Kind, Holding::No, 0}, Payload)});
 }
 
-/// \returns whether \p Agent has been silent for so long that it counts as
-/// gone, or isn't known any more.
+/// \returns whether the upstream beside \p Agent is known to hold no flow: the
+/// agent says so, has been silent for so long that it counts as gone, or isn't
+/// known any more.
 bool gone(const Context &C, const Endpoint &Agent) {
   const auto At = C.E.Agents.find(Agent);
   if (At == C.E.Agents.end())
@@ -73,6 +84,8 @@
   const AgentView &View = At->second;
   if (!View.Report)
     return C.Now - View.Since > AgentAbsent;
+  if (View.Report->HoldsNothing)
+    return true;
   const bool HadUpstream = View.Report->State != UpstreamState::Unknown;
   return C.Now - View.ReportedAt > (HadUpstream ? AgentGone : AgentAbsent);
 }
@@ -129,7 +142,7 @@
   ++C.E.Agents[Agent].PlacedSince;
   OwnedFlow &F = C.E.Flows[P.Flow];
   F = OwnedFlow{Agent, C.Now, false, serviceTag(Service), std::move(Excluded)};
-  forward(C, Agent, Raw, F.ServiceTag);
+  forwardOpening(C, Agent, P, Raw, Of, F.ServiceTag);
 }
 
 /// \returns whether \p Agent and the upstream beside it have shown life lately.
@@ -157,7 +170,7 @@
   // A copy most likely makes up for a lost packet, or the flow waits at its
   // agent. Only an upstream that doesn't answer is given up.
   if (answering(C, F.Agent))
-    return forward(C, F.Agent, Raw, F.ServiceTag);
+    return forwardOpening(C, F.Agent, P, Raw, Of, F.ServiceTag);
   std::vector<Endpoint> Excluded = F.Excluded;
   Excluded.push_back(F.Agent);
   offer(C, P, Raw, Of, std::move(Excluded));
@@ -177,16 +190,43 @@
     C.E.Asks[Agent].push_back(Flow);
 }
 
-/// Asks the agents of the next wave.
+/// \returns what the list of \p Agent tells of \p Flow, or nothing if there is
+/// no list or it was asked for before \p Since.
+std::optional<Holding> listed(const Context &C, const Endpoint &Agent,
+                              const FlowKey &Flow, TimePoint Since) {
+  const auto At = C.E.Agents.find(Agent);
+  if (At == C.E.Agents.end() || !At->second.Listed ||
+      At->second.Listed->AskedAt < Since)
+    return std::nullopt;
+  const FlowList &List = *At->second.Listed;
+  const auto Known = List.Flows.find(Flow);
+  return Known == List.Flows.end() ? List.Others : Known->second;
+}
+
+void advance(Context &C, const FlowKey &Flow);
+void found(Context &C, const FlowKey &Flow, const Endpoint &Agent);
+
+/// Asks the agents of the next wave, but for those whose list is known.
 void nextWave(Context &C, const FlowKey &Flow, Search &S) {
   const std::size_t Count = std::min(S.WaveSize, S.Later.size());
-  S.Waiting.assign(S.Later.rbegin(),
-                   S.Later.rbegin() + static_cast<std::ptrdiff_t>(Count));
+  const std::vector<Endpoint> Wave(
+      S.Later.rbegin(), S.Later.rbegin() + static_cast<std::ptrdiff_t>(Count));
   S.Later.resize(S.Later.size() - Count);
   S.WaveSize *= WaveGrowth;
   S.AskPause = AskInterval;
   S.AskDue = C.Now + S.AskPause;
+  for (const Endpoint &Agent : Wave) {
+    const auto Answer = listed(C, Agent, Flow, S.Started);
+    if (Answer == Holding::Yes)
+      return found(C, Flow, Agent);
+    if (!Answer)
+      S.Waiting.push_back(Agent);
+    else if (*Answer == Holding::Unsure)
+      S.Unsure.push_back(Agent);
+  }
   askAll(C, Flow, S);
+  if (S.Waiting.empty())
+    advance(C, Flow);
 }
 
 /// Takes the next step of a search once all agents that were asked have
@@ -308,7 +348,7 @@
     return;
   }
   ++C.E.Counters.Returned;
-  const Packet &P = *Decoded;
+  Packet P = *Decoded;
   if (const auto At = C.E.Searches.find(P.Flow); At != C.E.Searches.end()) {
     Search &S = At->second;
     std::erase(S.Waiting, Agent);
@@ -323,6 +363,7 @@
   Excluded.push_back(Agent);
   const Route *Of = C.E.Routes ? C.E.Routes->find(P.Flow.Service) : nullptr;
   if (P.Opens && Of) {
+    P.OpeningAge += duration_cast<milliseconds>(C.Now - At->second.LastSeen);
     note(C, "offer_declined", P.Flow,
          Reason == Holding::NotReady ? "not ready" : "full", Agent);
     return offer(C, P, Raw, *Of, std::move(Excluded));
@@ -332,6 +373,45 @@
     startSearch(C, P, Raw, {Agent});
 }
 
+/// Adds a part to the list that is arriving. \returns whether it is complete.
+bool addPart(FlowList &List, const FlowListPart &Part) {
+  if (List.Arrived.empty()) {
+    List.Arrived.resize(Part.Parts);
+    List.PartsMissing = Part.Parts;
+    List.Others = Part.Others;
+  }
+  if (Part.Part >= List.Arrived.size() || List.Arrived[Part.Part])
+    return false;
+  List.Arrived[Part.Part] = true;
+  for (const FlowLocation &L : Part.Flows)
+    List.Flows[L.Flow] = L.Where;
+  return --List.PartsMissing == 0;
+}
+
+/// Takes a part of an agent's list; a complete one answers all searches that
+/// wait for this agent and began before it was asked for.
+void onFlowList(Context &C, const Endpoint &Agent, const FlowListPart &Part) {
+  const auto At = C.E.Agents.find(Agent);
+  if (At == C.E.Agents.end())
+    return;
+  AgentView &View = At->second;
+  if (!View.Arriving || View.Arriving->Question != Part.Question ||
+      !addPart(*View.Arriving, Part))
+    return;
+  View.Listed = std::exchange(View.Arriving, std::nullopt);
+  std::vector<FlowLocation> Answers;
+  for (const auto &[Flow, S] : C.E.Searches) {
+    if (!contains(S.Waiting, Agent))
+      continue;
+    if (const auto Where = listed(C, Agent, Flow, S.Started))
+      Answers.push_back({Flow, *Where});
+    else
+      C.E.Asks[Agent].push_back(Flow);
+  }
+  for (const FlowLocation &Answer : Answers)
+    onLocated(C, Agent, Answer.Where, Answer.Flow);
+}
+
 void onLoad(Context &C, const Endpoint &From,
             absl::Span<const std::uint8_t> Payload) {
   auto Report = decodeLoadReport(Payload.data(), Payload.size());
@@ -418,15 +498,60 @@
   absl::erase_if(C.E.Agents, [&](const auto &Item) {
     return C.Now - Item.second.KnownAt >= AgentForgotten;
   });
+  for (auto &[Agent, View] : C.E.Agents)
+    if (View.Listed && C.Now - View.Listed->AskedAt >= FlowListKept)
+      View.Listed.reset();
+}
+
+/// \returns whether the list of all flows of \p Agent takes fewer bytes than
+/// \p Asked questions and their answers, about twice a listed flow each.
+bool listIsSmaller(const EntryFlows &E, const Endpoint &Agent,
+                   std::size_t Asked) {
+  const auto At = E.Agents.find(Agent);
+  return Asked >= ListFromSearches && At != E.Agents.end() &&
+         At->second.Report && At->second.Report->ActiveFlows < 2 * Asked;
+}
+
+/// Asks for a list, unless one is on its way: onFlowList() asks again for what
+/// that one doesn't answer.
+void askForList(Context &C, const Endpoint &Agent) {
+  AgentView &View = C.E.Agents[Agent];
+  if (View.Arriving && C.Now - View.Arriving->AskedAt < AskInterval)
+    return;
+  FlowList Arriving;
+  Arriving.Question = ++C.E.ListQuestions;
+  Arriving.AskedAt = C.Now;
+  ask(C, Agent, TunnelKind::ListFlows, encodeListQuestion(Arriving.Question));
+  View.Arriving = std::move(Arriving);
+}
+
+/// Handles a caller's packet once enough is known to place flows.
+void handle(Context &C, const Packet &P, absl::Span<const std::uint8_t> Raw) {
+  const Route *Of = C.E.Routes->find(P.Flow.Service);
+  if (!Of) {
+    ++C.E.Counters.UnknownRoute;
+    note(C, "flow_refused", P.Flow, "no route has this address");
+    C.E.Flows.erase(P.Flow);
+    if (!P.Resets)
+      reset(C, P.Flow, P.Opens ? 0 : P.Acknowledged);
+    return;
+  }
+  if (P.Opens)
+    return onOpening(C, P, Raw, *Of);
+  onEstablished(C, P, Raw);
 }
 
 /// Handles the packets that waited.
 void releaseWaiting(Context &C) {
   if (!startPlacing(C) || C.E.Waiting.empty())
     return;
-  for (const auto &[Flow, W] : std::exchange(C.E.Waiting, {}))
-    if (C.Now - W.Since < WaitingPatience)
-      onCallerPacket(C.E, W.Raw, C.Now, C.Out);
+  for (const auto &[Flow, W] : std::exchange(C.E.Waiting, {})) {
+    auto P = C.E.Codec.Decode(W.Raw, Direction::FromCaller);
+    if (!P || C.Now - W.Since >= WaitingPatience)
+      continue;
+    P->OpeningAge += duration_cast<milliseconds>(C.Now - W.Since);
+    handle(C, *P, W.Raw);
+  }
 }
 
 } // namespace
@@ -462,18 +587,7 @@
   const Packet &P = *Decoded;
   if (!startPlacing(C))
     return keepWaiting(C, P.Flow, Raw);
-  const Route *Of = E.Routes->find(P.Flow.Service);
-  if (!Of) {
-    ++E.Counters.UnknownRoute;
-    note(C, "flow_refused", P.Flow, "no route has this address");
-    E.Flows.erase(P.Flow);
-    if (!P.Resets)
-      reset(C, P.Flow, P.Opens ? 0 : P.Acknowledged);
-    return;
-  }
-  if (P.Opens)
-    return onOpening(C, P, Raw, *Of);
-  onEstablished(C, P, Raw);
+  handle(C, P, Raw);
 }
 
 void onTunnel(EntryFlows &E, const Endpoint &From,
@@ -490,6 +604,12 @@
     return onLoad(C, From, Decoded->Payload);
   if (Header.Kind == TunnelKind::Returned)
     return onReturned(C, From, Header.Detail, Decoded->Payload);
+  if (Header.Kind == TunnelKind::FlowList) {
+    if (const auto Part = decodeFlowList(Decoded->Payload))
+      return onFlowList(C, From, *Part);
+    ++E.Counters.Malformed;
+    return;
+  }
   const auto Locations = decodeLocations(Decoded->Payload);
   if (Header.Kind != TunnelKind::Located || !Locations) {
     ++E.Counters.Malformed;
@@ -499,8 +619,13 @@
     onLocated(C, From, L.Where, L.Flow);
 }
 
-void flush(EntryFlows &E, EntryEffects &Out) {
+void flush(EntryFlows &E, TimePoint Now, EntryEffects &Out) {
+  Context C{E, Now, Out};
   for (auto &[Agent, Flows] : std::exchange(E.Asks, {})) {
+    if (listIsSmaller(E, Agent, Flows.size())) {
+      askForList(C, Agent);
+      continue;
+    }
     for (std::size_t From = 0; From < Flows.size();
          From += MaxFlowsPerDatagram) {
       const std::size_t To = std::min(Flows.size(), From + MaxFlowsPerDatagram);
--- a/src/flow/entry_loop.cpp
+++ b/src/flow/entry_loop.cpp
@@ -131,7 +131,7 @@
       tick(Flows, Now, Effects);
       Ready = placing(Flows);
     }
-    flush(Flows, Effects);
+    flush(Flows, Time.now(), Effects);
     carryOut();
   }
 }
--- a/src/flow/load_report.cpp
+++ b/src/flow/load_report.cpp
@@ -10,17 +10,17 @@
       json::array({R.RunId, R.Number, R.Service, R.UpstreamName, R.DataCentre,
                    static_cast<unsigned>(R.State), R.Slots,
                    R.ColdRemaining.count(), R.ActiveFlows, R.Outstanding,
-                   R.Silent.count(), R.ResponseTime.count()}));
+                   R.Silent.count(), R.ResponseTime.count(), R.HoldsNothing}));
 }
 
 Expected<LoadReport> decodeLoadReport(const std::uint8_t *Data,
                                       std::size_t Size) {
-  constexpr std::size_t Fields = 12;
+  constexpr std::size_t Fields = 13;
   try {
     const json J = json::from_cbor(Data, Data + Size);
     if (!J.is_array() || J.size() != Fields)
       return fail(ErrorCode::MessageMalformed,
-                  "a load report is an array of 12 fields");
+                  "a load report is an array of 13 fields");
     LoadReport R;
     std::size_t I = 0;
     R.RunId = J.at(I++).get<std::uint64_t>();
@@ -38,6 +38,7 @@
     R.Outstanding = J.at(I++).get<std::uint32_t>();
     R.Silent = std::chrono::milliseconds(J.at(I++).get<std::int64_t>());
     R.ResponseTime = std::chrono::microseconds(J.at(I++).get<std::int64_t>());
+    R.HoldsNothing = J.at(I++).get<bool>();
     return R;
   } catch (const json::exception &E) {
     return fail(ErrorCode::MessageMalformed, E.what());
--- a/src/flow/tunnel.cpp
+++ b/src/flow/tunnel.cpp
@@ -1,20 +1,24 @@
 #include "jasminearch/flow/tunnel.h"
+#include <algorithm>
 #include <boost/endian/buffers.hpp>
 #include <cstring>
+#include <utility>
 #include <xxhash.h>
 
 namespace jasminearch::flow {
 
 namespace {
 
-constexpr std::uint8_t TunnelVersion = 1;
+constexpr std::uint8_t TunnelVersion = 2;
 
 struct HeaderLayout {
   boost::endian::big_uint8_buf_t Version;
   boost::endian::big_uint8_buf_t Kind;
   boost::endian::big_uint8_buf_t Detail;
-  boost::endian::big_uint8_buf_t Reserved;
+  boost::endian::big_uint8_buf_t Priority;
   boost::endian::big_uint32_buf_t ServiceTag;
+  boost::endian::big_uint16_buf_t AgeMs;
+  boost::endian::big_uint16_buf_t ObjectiveMs;
 };
 static_assert(sizeof(HeaderLayout) == TunnelHeaderBytes);
 
@@ -26,6 +30,23 @@
 };
 static_assert(sizeof(KeyLayout) == FlowKeyBytes);
 
+/// \returns \p Time in milliseconds, or the nearest value that fits.
+std::uint16_t clampedMs(std::chrono::milliseconds Time) {
+  return static_cast<std::uint16_t>(
+      std::clamp<std::int64_t>(Time.count(), 0, 0xFFFF));
+}
+
+struct QuestionLayout {
+  boost::endian::big_uint32_buf_t Question;
+};
+
+struct FlowListLayout {
+  boost::endian::big_uint32_buf_t Question;
+  boost::endian::big_uint16_buf_t Part;
+  boost::endian::big_uint16_buf_t Parts;
+  boost::endian::big_uint8_buf_t Others;
+};
+
 tl::unexpected<Error> malformed(const std::string &Detail) {
   return fail(ErrorCode::PacketMalformed, Detail);
 }
@@ -43,6 +64,9 @@
   Layout.Kind = static_cast<std::uint8_t>(Header.Kind);
   Layout.Detail = static_cast<std::uint8_t>(Header.Detail);
   Layout.ServiceTag = Header.ServiceTag;
+  Layout.Priority = Header.Priority;
+  Layout.AgeMs = clampedMs(Header.Age);
+  Layout.ObjectiveMs = clampedMs(Header.Objective);
   Bytes Datagram(sizeof(Layout) + Payload.size());
   std::memcpy(Datagram.data(), &Layout, sizeof(Layout));
   if (!Payload.empty())
@@ -61,12 +85,16 @@
   const std::uint8_t Kind = Layout.Kind.value();
   const std::uint8_t Detail = Layout.Detail.value();
   if (Kind < static_cast<std::uint8_t>(TunnelKind::Forward) ||
-      Kind > static_cast<std::uint8_t>(TunnelKind::Load) ||
+      Kind > static_cast<std::uint8_t>(TunnelKind::FlowList) ||
       Detail > static_cast<std::uint8_t>(Holding::NotReady))
     return malformed("a tunnel datagram has an unknown kind or detail");
   TunnelDatagram Decoded;
-  Decoded.Header = {static_cast<TunnelKind>(Kind), static_cast<Holding>(Detail),
-                    Layout.ServiceTag.value()};
+  Decoded.Header = {static_cast<TunnelKind>(Kind),
+                    static_cast<Holding>(Detail),
+                    Layout.ServiceTag.value(),
+                    Layout.Priority.value(),
+                    std::chrono::milliseconds(Layout.AgeMs.value()),
+                    std::chrono::milliseconds(Layout.ObjectiveMs.value())};
   Decoded.Payload = Datagram.subspan(sizeof(Layout));
   return Decoded;
 }
@@ -140,4 +168,59 @@
   return All;
 }
 
+Bytes encodeFlowList(const FlowListPart &Part) {
+  FlowListLayout Layout{};
+  Layout.Question = Part.Question;
+  Layout.Part = Part.Part;
+  Layout.Parts = Part.Parts;
+  Layout.Others = static_cast<std::uint8_t>(Part.Others);
+  Bytes Encoded(sizeof(Layout));
+  std::memcpy(Encoded.data(), &Layout, sizeof(Layout));
+  const Bytes Flows = encodeLocations(Part.Flows);
+  Encoded.insert(Encoded.end(), Flows.begin(), Flows.end());
+  return Encoded;
+}
+
+Expected<FlowListPart> decodeFlowList(absl::Span<const std::uint8_t> Payload) {
+  FlowListLayout Layout{};
+  if (Payload.size() < sizeof(Layout))
+    return malformed("a part of a flow list is shorter than its header");
+  std::memcpy(&Layout, Payload.data(), sizeof(Layout));
+  const std::uint8_t Others = Layout.Others.value();
+  if (Layout.Part.value() >= Layout.Parts.value() ||
+      (Others != static_cast<std::uint8_t>(Holding::No) &&
+       Others != static_cast<std::uint8_t>(Holding::Unsure)))
+    return malformed("a part of a flow list has a number or an answer that "
+                     "is out of range");
+  FlowListPart Part{Layout.Question.value(),
+                    Layout.Part.value(),
+                    Layout.Parts.value(),
+                    static_cast<Holding>(Others),
+                    {}};
+  if (Payload.size() == sizeof(Layout))
+    return Part;
+  auto Flows = decodeLocations(Payload.subspan(sizeof(Layout)));
+  if (!Flows)
+    return tl::unexpected(Flows.error());
+  Part.Flows = std::move(*Flows);
+  return Part;
+}
+
+Bytes encodeListQuestion(std::uint32_t Question) {
+  QuestionLayout Layout{};
+  Layout.Question = Question;
+  Bytes Encoded(sizeof(Layout));
+  std::memcpy(Encoded.data(), &Layout, sizeof(Layout));
+  return Encoded;
+}
+
+Expected<std::uint32_t>
+decodeListQuestion(absl::Span<const std::uint8_t> Payload) {
+  QuestionLayout Layout{};
+  if (Payload.size() != sizeof(Layout))
+    return malformed("a question for a flow list has 4 bytes");
+  std::memcpy(&Layout, Payload.data(), sizeof(Layout));
+  return Layout.Question.value();
+}
+
 } // namespace jasminearch::flow
--- a/tests/flow_support.h
+++ b/tests/flow_support.h
@@ -49,6 +49,8 @@
   P.Returned = W.Returned;
   P.Sequence = W.Sequence;
   P.Acknowledged = W.Acknowledged;
+  if (P.Opens)
+    P.OpeningAge = std::chrono::milliseconds(200) * P.Acknowledged;
   P.Tag = W.Tag;
   P.DataBytes = W.DataBytes;
   return P;
