--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -67,7 +67,7 @@
 /// Requests in flight per slot up to which an upstream gets new flows at once.
 /// Beyond the slots requests wait in the upstream's own short queue, and beyond
 /// that it sheds them.
-inline constexpr double InFlightPerSlot = 1.5;
+inline constexpr double InFlightPerSlot = 2;
 
 /// Age up to which an opening is delivered. The caller gives it up after 1.4 s
 /// and needs a round trip to answer. One that would have to wait longer is
