Find flows faster after all processes restart, and count requests once

Agents that had not heard their upstream yet were asked last, though they hold flows as likely as before, and each search tried eight upstreams at once, which fills the entry hosts' links of 7.3 Mbit/s. Change: only data with a newer sequence counts as a request; a tried packet isn't sent twice; agents of unknown service keep their rank; four are asked first.

--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -119,6 +119,9 @@
   TimePoint LastSeen{};
   /// When the request without an answer was first delivered.
   std::optional<TimePoint> RequestAt;
+  /// Sequence of the newest data from the caller. Data that isn't newer is a
+  /// copy: it may arrive after the response.
+  std::optional<std::uint32_t> NewestData;
   /// That request counts in InFlight.
   bool InFlight = false;
   /// Entry host that sent its last packet.
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -36,8 +36,9 @@
 
 /// Agents that a search asks first: those that rank first for the flow. Its
 /// upstream was chosen among the ChoicesPerFlow first that were ready then.
-/// Further waves are this many times larger.
-inline constexpr std::size_t FirstWave = 2 * ChoicesPerFlow;
+/// Further waves are this many times larger. After a restart of all agents none
+/// can tell, and each one that is asked gets a copy of the caller's packet.
+inline constexpr std::size_t FirstWave = ChoicesPerFlow;
 inline constexpr std::size_t WaveGrowth = 4;
 
 /// Time after which a search is given up. Callers retransmit after up to 1.6 s,
@@ -141,8 +142,10 @@
   std::size_t WaveSize = FirstWave;
   /// Agents that haven't answered.
   std::vector<Endpoint> Waiting;
-  /// Agents that can't tell, and were sent the packets.
+  /// Agents that can't tell, and were sent one packet.
   std::vector<Endpoint> Tried;
+  /// Index in Held of the packet that Tried got.
+  std::size_t TriedPacket = 0;
   /// Agents that can't tell, and will be tried.
   std::vector<Endpoint> Unsure;
   std::vector<Bytes> Held;
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -122,13 +122,27 @@
   A.Flows.erase(At);
 }
 
+/// \returns whether \p P has data that \p F hasn't seen, and remembers it.
+/// Sequences wrap around.
+bool bringsNewData(AgentFlow &F, const Packet &P) {
+  if (P.DataBytes == 0)
+    return false;
+  const bool Copy = F.NewestData &&
+                    static_cast<std::int32_t>(P.Sequence - *F.NewestData) <= 0;
+  if (!Copy)
+    F.NewestData = P.Sequence;
+  return !Copy;
+}
+
 void track(Context &C, const Packet &P, const Endpoint &Entry) {
   AgentFlow &F = C.A.Flows[P.Flow];
   F.LastSeen = C.Now;
   F.Entry = Entry;
-  if (P.Opens)
+  if (P.Opens) {
     F.Ended = false;
-  if (P.DataBytes != 0 && !F.RequestAt) {
+    F.NewestData.reset();
+  }
+  if (bringsNewData(F, P) && !F.RequestAt) {
     F.RequestAt = C.Now;
     F.InFlight = true;
     ++C.A.InFlight;
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -238,6 +238,7 @@
   Search &S = At->second;
   if (!S.Unsure.empty()) {
     S.Tried = std::exchange(S.Unsure, {});
+    S.TriedPacket = S.Held.size() - 1;
     for (const Endpoint &Agent : S.Tried)
       forward(C, Agent, S.Held.back());
     return;
@@ -262,8 +263,9 @@
       [&Service](const RouteTarget &T) { return T.Service == Service; });
 }
 
-/// \returns the agents to ask for a flow, the most likely last: those of the
-/// route's services before others, and by their rank for the flow.
+/// \returns the agents to ask for a flow, the most likely last: by their rank
+/// for the flow, but those that are known to be of another service than the
+/// route's first. An agent that has just restarted doesn't know its service.
 std::vector<Endpoint> searchOrder(const Context &C, const FlowKey &Flow,
                                   const std::vector<Endpoint> &Excluded) {
   const Route *Of = C.E.Routes ? C.E.Routes->find(Flow.Service) : nullptr;
@@ -272,13 +274,14 @@
   for (const auto &[Agent, View] : C.E.Agents) {
     if (contains(Excluded, Agent) || gone(C, Agent))
       continue;
-    const bool Likely = Of && View.Report && serves(*Of, View.Report->Service);
-    Ranked.emplace_back(Likely, rendezvousRank(Agent, Hash), Agent);
+    const bool Other = Of && View.Report && !View.Report->Service.empty() &&
+                       !serves(*Of, View.Report->Service);
+    Ranked.emplace_back(!Other, rendezvousRank(Agent, Hash), Agent);
   }
   std::sort(Ranked.begin(), Ranked.end());
   std::vector<Endpoint> Order;
   Order.reserve(Ranked.size());
-  for (const auto &[Likely, Rank, Agent] : Ranked)
+  for (const auto &[MayServe, Rank, Agent] : Ranked)
     Order.push_back(Agent);
   return Order;
 }
@@ -320,8 +323,11 @@
   ++C.E.Counters.Found;
   note(C, "flow_found", Flow, "an agent holds it", Agent);
   C.E.Flows[Flow] = OwnedFlow{Agent, C.Now, true, 0, {}};
-  for (const Bytes &Raw : At->second.Held)
-    forward(C, Agent, Raw);
+  const Search &S = At->second;
+  const bool Tried = contains(S.Tried, Agent);
+  for (std::size_t I = 0; I < S.Held.size(); ++I)
+    if (!Tried || I != S.TriedPacket)
+      forward(C, Agent, S.Held[I]);
   C.E.Searches.erase(At);
 }
 
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(dropsOpeningsThatCallersGaveUp);
   CPPUNIT_TEST(freesRoomOfRequestsThatWereGivenUp);
   CPPUNIT_TEST(servesAgainAfterCallersGaveUp);
+  CPPUNIT_TEST(copiesBehindTheResponseTakeNoRoom);
+  CPPUNIT_TEST(countsTheNextRequestAcrossTheWrapOfSequences);
   CPPUNIT_TEST(takesNothingNewWhileStopping);
   CPPUNIT_TEST(countsWhatItCannotRead);
   CPPUNIT_TEST_SUITE_END();
@@ -461,8 +463,8 @@
       if (!sent(TunnelKind::Returned).empty())
         break;
     }
-    // Rounds of 300 ms with four openings each: an eighteenth one would be served
-    // after 1.35 s, when its caller has given it up.
+    // Rounds of 300 ms with four openings each: an eighteenth one would be
+    // served after 1.35 s, when its caller has given it up.
     CPPUNIT_ASSERT_EQUAL(std::size_t{17}, A.Waiting.size());
     CPPUNIT_ASSERT(expectedWait(A) < OpeningPatience);
   }
@@ -505,6 +507,37 @@
     CPPUNIT_ASSERT(RequestForgotten < 1400ms);
   }
 
+  /// Load: after a restart of all processes entry hosts send the packets that
+  /// they held once more, so that copies of requests arrive behind the
+  /// responses. They counted as in flight for a second and kept openings from
+  /// upstreams that were idle.
+  void copiesBehindTheResponseTakeNoRoom() {
+    begin();
+    const auto Limit =
+        static_cast<std::uint16_t>(A.Upstream->Slots * InFlightPerSlot);
+    for (std::uint16_t Port = 1; Port <= Limit; ++Port) {
+      forward(data(Port));
+      upstreamSends(data(Port));
+      forward(data(Port));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, A.InFlight);
+    forward(opening(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+  }
+
+  /// Guards against requests that aren't counted because an earlier one had a
+  /// larger sequence.
+  void countsTheNextRequestAcrossTheWrapOfSequences() {
+    begin();
+    WirePacket P = data(1);
+    P.Sequence = 0xFFFFFFFA;
+    forward(P);
+    upstreamSends(data(1));
+    P.Sequence = 4;
+    forward(P);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, A.InFlight);
+  }
+
   void takesNothingNewWhileStopping() {
     begin();
     busyFlow(1);
--- a/tests/flow_entry_test.cpp
+++ b/tests/flow_entry_test.cpp
@@ -1,4 +1,5 @@
 #include "flow_support.h"
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace jasminearch;
@@ -36,6 +37,8 @@
   CPPUNIT_TEST(tellsAgentsAgeObjectiveAndPriority);
   CPPUNIT_TEST(resetsThousandsOfLostFlowsWithFewBytes);
   CPPUNIT_TEST(usesOnlyWholeAndRecentLists);
+  CPPUNIT_TEST(asksAgentsOfAnUnknownServiceInTheirRank);
+  CPPUNIT_TEST(sendsATriedPacketOnlyOnce);
   CPPUNIT_TEST(doesNotAskAnAgentThatHoldsNothing);
   CPPUNIT_TEST(countsWhatItCannotRead);
   CPPUNIT_TEST_SUITE_END();
@@ -195,6 +198,42 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, E.Searches.size());
   }
 
+  /// Guards against searches that ask agents which have just restarted last:
+  /// they don't know their upstream's service yet, and hold the flow as likely
+  /// as before.
+  void asksAgentsOfAnUnknownServiceInTheirRank() {
+    constexpr std::uint32_t Agents = 3 * FirstWave;
+    begin(Agents);
+    packet(data(1));
+    std::vector<Endpoint> Before;
+    for (const SentTunnel &Ask : asked())
+      Before.push_back(Ask.To);
+    begin(Agents);
+    for (const Endpoint &Agent : Before) {
+      LoadReport R = readyReport("");
+      R.State = UpstreamState::Unknown;
+      load(Agent.Address - agentAt(0).Address, R);
+    }
+    packet(data(1));
+    CPPUNIT_ASSERT_EQUAL(Before.size(), asked().size());
+    for (const SentTunnel &Ask : asked())
+      CPPUNIT_ASSERT(std::find(Before.begin(), Before.end(), Ask.To) !=
+                     Before.end());
+  }
+
+  /// Guards against a second copy of a request for an upstream that has it.
+  void sendsATriedPacketOnlyOnce() {
+    begin(1);
+    packet(data(1));
+    answer(1, 1, Holding::Unsure);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    packet(data(1, 8));
+    answer(1, 1, Holding::Yes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{8},
+                         wire(forwards(Out).at(0).Payload).Acknowledged);
+  }
+
   /// Guards against waiting for an agent that said that there is nothing to
   /// find, and ended.
   void doesNotAskAnAgentThatHoldsNothing() {
