Split the entry host's searches from its placement, and describe both

Cause: entry_flows.cpp had grown to 660 lines with the lists of flows; the pages described the order of openings and searches as they were before.

--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -1,64 +1,19 @@
 #include "jasminearch/flow/entry_flows.h"
-#include <absl/hash/hash.h>
+#include "jasminearch/flow/detail/entry_steps.h"
 #include <algorithm>
-#include <tuple>
 #include <utility>
-#include <xxhash.h>
 
 namespace jasminearch::flow {
 
+using namespace detail;
+
 namespace {
 
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// What every step needs.
-struct Context {
-  EntryFlows &E;
-  TimePoint Now;
-  EntryEffects &Out;
-};
-
-/// The same on every entry host, so that copies of an opening packet that take
-/// different ways choose the same service.
-std::uint64_t stableHash(const FlowKey &Flow) {
-  const Bytes Key = encodeFlowKey(Flow);
-  return XXH3_64bits(Key.data(), Key.size());
-}
-
-bool contains(const std::vector<Endpoint> &All, const Endpoint &One) {
-  return std::find(All.begin(), All.end(), One) != All.end();
-}
-
-std::uint64_t versionOf(const EntryFlows &E) {
-  return E.Routes ? E.Routes->table().Version : 0;
-}
-
-void note(Context &C, std::string_view Event, const FlowKey &Flow,
-          std::string_view Reason, const Endpoint &Agent = {}) {
-  FlowDecision D{Event, Flow, std::string(Reason), Agent, versionOf(C.E), {},
-                 0,     0};
-  const auto At = C.E.Agents.find(Agent);
-  if (At != C.E.Agents.end() && At->second.Report) {
-    D.ReportAge = duration_cast<milliseconds>(C.Now - At->second.ReportedAt);
-    D.Outstanding = At->second.Report->Outstanding;
-    D.ActiveFlows = At->second.Report->ActiveFlows;
-  }
-  C.Out.emplace_back(D);
-}
-
-void reset(Context &C, const FlowKey &Flow, std::uint32_t Sequence) {
-  C.Out.emplace_back(SendReset{{Flow, Sequence}});
-}
-
-void forward(Context &C, const Endpoint &Agent,
-             absl::Span<const std::uint8_t> Raw) {
-  C.Out.emplace_back(SendTunnel{
-      Agent, encodeTunnel({TunnelKind::Forward, Holding::No, 0}, Raw)});
-}
-
 /// Forwards an opening packet with what the agent needs to order it.
-void forwardOpening(Context &C, const Endpoint &Agent, const Packet &P,
+void forwardOpening(EntryContext &C, const Endpoint &Agent, const Packet &P,
                     absl::Span<const std::uint8_t> Raw, const Route &Of,
                     std::uint32_t ServiceTag) {
   TunnelHeader Header{TunnelKind::Forward, Holding::No, ServiceTag};
@@ -68,29 +23,7 @@
   C.Out.emplace_back(SendTunnel{Agent, encodeTunnel(Header, Raw)});
 }
 
-void ask(Context &C, const Endpoint &Agent, TunnelKind Kind,
-         const Bytes &Payload) {
-  C.Out.emplace_back(
-      SendTunnel{Agent, encodeTunnel({Kind, Holding::No, 0}, Payload)});
-}
-
-/// \returns whether the upstream beside \p Agent is known to hold no flow: the
-/// agent says so, has been silent for so long that it counts as gone, or isn't
-/// known any more.
-bool gone(const Context &C, const Endpoint &Agent) {
-  const auto At = C.E.Agents.find(Agent);
-  if (At == C.E.Agents.end())
-    return true;
-  const AgentView &View = At->second;
-  if (!View.Report)
-    return C.Now - View.Since > AgentAbsent;
-  if (View.Report->HoldsNothing)
-    return true;
-  const bool HadUpstream = View.Report->State != UpstreamState::Unknown;
-  return C.Now - View.ReportedAt > (HadUpstream ? AgentGone : AgentAbsent);
-}
-
-std::vector<Candidate> candidates(const Context &C) {
+std::vector<Candidate> candidates(const EntryContext &C) {
   std::vector<Candidate> All;
   All.reserve(C.E.Agents.size());
   for (const auto &[At, View] : C.E.Agents)
@@ -105,7 +38,7 @@
 /// Another service of the route is used only if the one that the weights name
 /// has no upstream.
 std::optional<std::pair<Endpoint, std::string>>
-choose(const Context &C, const Route &Of, const FlowKey &Flow,
+choose(const EntryContext &C, const Route &Of, const FlowKey &Flow,
        const std::vector<Endpoint> &Excluded) {
   const std::uint64_t Hash = stableHash(Flow);
   const std::vector<Candidate> All = candidates(C);
@@ -125,7 +58,7 @@
 
 /// Offers an opening packet to the best upstream that hasn't declined it, or
 /// refuses the flow.
-void offer(Context &C, const Packet &P, absl::Span<const std::uint8_t> Raw,
+void offer(EntryContext &C, const Packet &P, absl::Span<const std::uint8_t> Raw,
            const Route &Of, std::vector<Endpoint> Excluded) {
   const auto Chosen = Excluded.size() >= MaxOffers
                           ? std::nullopt
@@ -146,15 +79,15 @@
 }
 
 /// \returns whether \p Agent and the upstream beside it have shown life lately.
-bool answering(const Context &C, const Endpoint &Agent) {
+bool answering(const EntryContext &C, const Endpoint &Agent) {
   const auto At = C.E.Agents.find(Agent);
   return At != C.E.Agents.end() && At->second.Report &&
          C.Now - At->second.ReportedAt < ReportFresh / 2 &&
          At->second.Report->Silent < SilentLimit;
 }
 
-void onOpening(Context &C, const Packet &P, absl::Span<const std::uint8_t> Raw,
-               const Route &Of) {
+void onOpening(EntryContext &C, const Packet &P,
+               absl::Span<const std::uint8_t> Raw, const Route &Of) {
   const auto At = C.E.Flows.find(P.Flow);
   if (At == C.E.Flows.end()) {
     if (C.E.Flows.size() >= MaxFlows)
@@ -176,132 +109,7 @@
   offer(C, P, Raw, Of, std::move(Excluded));
 }
 
-/// Gives up a search whose flow no upstream holds.
-void foundNowhere(Context &C, const FlowKey &Flow, const Search &S) {
-  ++C.E.Counters.FoundNowhere;
-  note(C, "flow_lost", Flow, "no upstream holds it");
-  if (!S.ResetSeen)
-    reset(C, Flow, S.Acknowledged);
-  C.E.Searches.erase(Flow);
-}
-
-void askAll(Context &C, const FlowKey &Flow, const Search &S) {
-  for (const Endpoint &Agent : S.Waiting)
-    C.E.Asks[Agent].push_back(Flow);
-}
-
-/// \returns what the list of \p Agent tells of \p Flow, or nothing if there is
-/// no list or it was asked for before \p Since.
-std::optional<Holding> listed(const Context &C, const Endpoint &Agent,
-                              const FlowKey &Flow, TimePoint Since) {
-  const auto At = C.E.Agents.find(Agent);
-  if (At == C.E.Agents.end() || !At->second.Listed ||
-      At->second.Listed->AskedAt < Since)
-    return std::nullopt;
-  const FlowList &List = *At->second.Listed;
-  const auto Known = List.Flows.find(Flow);
-  return Known == List.Flows.end() ? List.Others : Known->second;
-}
-
-void advance(Context &C, const FlowKey &Flow);
-void found(Context &C, const FlowKey &Flow, const Endpoint &Agent);
-
-/// Asks the agents of the next wave, but for those whose list is known.
-void nextWave(Context &C, const FlowKey &Flow, Search &S) {
-  const std::size_t Count = std::min(S.WaveSize, S.Later.size());
-  const std::vector<Endpoint> Wave(
-      S.Later.rbegin(), S.Later.rbegin() + static_cast<std::ptrdiff_t>(Count));
-  S.Later.resize(S.Later.size() - Count);
-  S.WaveSize *= WaveGrowth;
-  S.AskPause = AskInterval;
-  S.AskDue = C.Now + S.AskPause;
-  for (const Endpoint &Agent : Wave) {
-    const auto Answer = listed(C, Agent, Flow, S.Started);
-    if (Answer == Holding::Yes)
-      return found(C, Flow, Agent);
-    if (!Answer)
-      S.Waiting.push_back(Agent);
-    else if (*Answer == Holding::Unsure)
-      S.Unsure.push_back(Agent);
-  }
-  askAll(C, Flow, S);
-  if (S.Waiting.empty())
-    advance(C, Flow);
-}
-
-/// Takes the next step of a search once all agents that were asked have
-/// answered: tries those that can't tell, then asks the next ones.
-void advance(Context &C, const FlowKey &Flow) {
-  const auto At = C.E.Searches.find(Flow);
-  if (At == C.E.Searches.end() || !At->second.Waiting.empty())
-    return;
-  Search &S = At->second;
-  if (!S.Unsure.empty()) {
-    S.Tried = std::exchange(S.Unsure, {});
-    S.TriedPacket = S.Held.size() - 1;
-    for (const Endpoint &Agent : S.Tried)
-      forward(C, Agent, S.Held.back());
-    return;
-  }
-  if (!S.Tried.empty())
-    return;
-  if (S.Later.empty())
-    return foundNowhere(C, Flow, S);
-  nextWave(C, Flow, S);
-}
-
-void hold(Search &S, const Packet &P, absl::Span<const std::uint8_t> Raw) {
-  S.Acknowledged = P.Acknowledged;
-  S.ResetSeen = S.ResetSeen || P.Resets;
-  if (S.Held.size() < MaxHeldPackets)
-    S.Held.emplace_back(Raw.begin(), Raw.end());
-}
-
-bool serves(const Route &Of, const std::string &Service) {
-  return std::any_of(
-      Of.Targets.begin(), Of.Targets.end(),
-      [&Service](const RouteTarget &T) { return T.Service == Service; });
-}
-
-/// \returns the agents to ask for a flow, the most likely last: by their rank
-/// for the flow, but those that are known to be of another service than the
-/// route's first. An agent that has just restarted doesn't know its service.
-std::vector<Endpoint> searchOrder(const Context &C, const FlowKey &Flow,
-                                  const std::vector<Endpoint> &Excluded) {
-  const Route *Of = C.E.Routes ? C.E.Routes->find(Flow.Service) : nullptr;
-  const std::uint64_t Hash = stableHash(Flow);
-  std::vector<std::tuple<bool, std::uint64_t, Endpoint>> Ranked;
-  for (const auto &[Agent, View] : C.E.Agents) {
-    if (contains(Excluded, Agent) || gone(C, Agent))
-      continue;
-    const bool Other = Of && View.Report && !View.Report->Service.empty() &&
-                       !serves(*Of, View.Report->Service);
-    Ranked.emplace_back(!Other, rendezvousRank(Agent, Hash), Agent);
-  }
-  std::sort(Ranked.begin(), Ranked.end());
-  std::vector<Endpoint> Order;
-  Order.reserve(Ranked.size());
-  for (const auto &[MayServe, Rank, Agent] : Ranked)
-    Order.push_back(Agent);
-  return Order;
-}
-
-void startSearch(Context &C, const Packet &P,
-                 absl::Span<const std::uint8_t> Raw,
-                 const std::vector<Endpoint> &Excluded) {
-  if (C.E.Searches.size() >= MaxSearches) {
-    ++C.E.Counters.SearchOverflow;
-    return;
-  }
-  ++C.E.Counters.Searches;
-  Search &S = C.E.Searches[P.Flow];
-  S.Started = C.Now;
-  hold(S, P, Raw);
-  S.Later = searchOrder(C, P.Flow, Excluded);
-  advance(C, P.Flow);
-}
-
-void onEstablished(Context &C, const Packet &P,
+void onEstablished(EntryContext &C, const Packet &P,
                    absl::Span<const std::uint8_t> Raw) {
   const auto Owned = C.E.Flows.find(P.Flow);
   if (Owned != C.E.Flows.end() && gone(C, Owned->second.Agent))
@@ -316,37 +124,9 @@
   startSearch(C, P, Raw, {});
 }
 
-void found(Context &C, const FlowKey &Flow, const Endpoint &Agent) {
-  const auto At = C.E.Searches.find(Flow);
-  if (At == C.E.Searches.end())
-    return;
-  ++C.E.Counters.Found;
-  note(C, "flow_found", Flow, "an agent holds it", Agent);
-  C.E.Flows[Flow] = OwnedFlow{Agent, C.Now, true, 0, {}};
-  const Search &S = At->second;
-  const bool Tried = contains(S.Tried, Agent);
-  for (std::size_t I = 0; I < S.Held.size(); ++I)
-    if (!Tried || I != S.TriedPacket)
-      forward(C, Agent, S.Held[I]);
-  C.E.Searches.erase(At);
-}
-
-void onLocated(Context &C, const Endpoint &Agent, Holding Answer,
-               const FlowKey &Flow) {
-  const auto At = C.E.Searches.find(Flow);
-  if (At == C.E.Searches.end())
-    return;
-  if (Answer == Holding::Yes)
-    return found(C, Flow, Agent);
-  Search &S = At->second;
-  if (std::erase(S.Waiting, Agent) != 0 && Answer == Holding::Unsure)
-    S.Unsure.push_back(Agent);
-  advance(C, Flow);
-}
-
 /// An upstream returned a packet: a new flow goes to another upstream, and an
 /// established one is looked for.
-void onReturned(Context &C, const Endpoint &Agent, Holding Reason,
+void onReturned(EntryContext &C, const Endpoint &Agent, Holding Reason,
                 absl::Span<const std::uint8_t> Raw) {
   const auto Decoded = C.E.Codec.Decode(Raw, Direction::FromCaller);
   if (!Decoded) {
@@ -379,46 +159,7 @@
     startSearch(C, P, Raw, {Agent});
 }
 
-/// Adds a part to the list that is arriving. \returns whether it is complete.
-bool addPart(FlowList &List, const FlowListPart &Part) {
-  if (List.Arrived.empty()) {
-    List.Arrived.resize(Part.Parts);
-    List.PartsMissing = Part.Parts;
-    List.Others = Part.Others;
-  }
-  if (Part.Part >= List.Arrived.size() || List.Arrived[Part.Part])
-    return false;
-  List.Arrived[Part.Part] = true;
-  for (const FlowLocation &L : Part.Flows)
-    List.Flows[L.Flow] = L.Where;
-  return --List.PartsMissing == 0;
-}
-
-/// Takes a part of an agent's list; a complete one answers all searches that
-/// wait for this agent and began before it was asked for.
-void onFlowList(Context &C, const Endpoint &Agent, const FlowListPart &Part) {
-  const auto At = C.E.Agents.find(Agent);
-  if (At == C.E.Agents.end())
-    return;
-  AgentView &View = At->second;
-  if (!View.Arriving || View.Arriving->Question != Part.Question ||
-      !addPart(*View.Arriving, Part))
-    return;
-  View.Listed = std::exchange(View.Arriving, std::nullopt);
-  std::vector<FlowLocation> Answers;
-  for (const auto &[Flow, S] : C.E.Searches) {
-    if (!contains(S.Waiting, Agent))
-      continue;
-    if (const auto Where = listed(C, Agent, Flow, S.Started))
-      Answers.push_back({Flow, *Where});
-    else
-      C.E.Asks[Agent].push_back(Flow);
-  }
-  for (const FlowLocation &Answer : Answers)
-    onLocated(C, Agent, Answer.Where, Answer.Flow);
-}
-
-void onLoad(Context &C, const Endpoint &From,
+void onLoad(EntryContext &C, const Endpoint &From,
             absl::Span<const std::uint8_t> Payload) {
   auto Report = decodeLoadReport(Payload.data(), Payload.size());
   if (!Report) {
@@ -438,7 +179,7 @@
 
 /// Begins to place flows once enough is known. \returns whether flows are
 /// placed.
-bool startPlacing(Context &C) {
+bool startPlacing(EntryContext &C) {
   if (C.E.Placing || !C.E.Routes || !C.E.Listed)
     return C.E.Placing;
   const auto Known = [&C](const auto &Item) {
@@ -450,7 +191,7 @@
 
 /// Keeps a packet until enough is known. The newest one tells most about an
 /// established flow, and any copy of an opening packet is as good as another.
-void keepWaiting(Context &C, const FlowKey &Flow,
+void keepWaiting(EntryContext &C, const FlowKey &Flow,
                  absl::Span<const std::uint8_t> Raw) {
   ++C.E.Counters.Held;
   if (C.E.Waiting.size() >= MaxWaitingFlows && !C.E.Waiting.contains(Flow))
@@ -458,46 +199,7 @@
   C.E.Waiting[Flow] = {Bytes(Raw.begin(), Raw.end()), C.Now};
 }
 
-void noteExpired(Context &C, const FlowKey &Flow, const Search &S) {
-  if (!S.Tried.empty())
-    return note(C, "search_expired", Flow, "its upstream gave no answer",
-                S.Tried.front());
-  note(C, "search_expired", Flow, "an agent gave no answer",
-       S.Waiting.empty() ? Endpoint{} : S.Waiting.front());
-}
-
-/// Asks agents again that haven't answered, and ends searches that took too
-/// long.
-void tickSearches(Context &C) {
-  std::vector<FlowKey> Expired;
-  std::vector<FlowKey> Answered;
-  for (auto &[Flow, S] : C.E.Searches) {
-    if (C.Now - S.Started >= SearchLimit) {
-      Expired.push_back(Flow);
-      continue;
-    }
-    if (C.Now < S.AskDue)
-      continue;
-    S.AskPause = std::min<milliseconds>(2 * S.AskPause, MaxAskPause);
-    S.AskDue = C.Now + S.AskPause;
-    // An upstream that gave no answer may be known to be gone by now.
-    if (S.Waiting.empty())
-      S.Waiting = std::exchange(S.Tried, {});
-    std::erase_if(S.Waiting, [&C](const auto &A) { return gone(C, A); });
-    askAll(C, Flow, S);
-    if (S.Waiting.empty())
-      Answered.push_back(Flow);
-  }
-  for (const FlowKey &Flow : Answered)
-    advance(C, Flow);
-  for (const FlowKey &Flow : Expired) {
-    ++C.E.Counters.SearchExpired;
-    noteExpired(C, Flow, C.E.Searches.at(Flow));
-    C.E.Searches.erase(Flow);
-  }
-}
-
-void cleanUp(Context &C) {
+void cleanUp(EntryContext &C) {
   absl::erase_if(C.E.Flows, [&](const auto &Item) {
     return C.Now - Item.second.LastSeen >= FlowForgotten;
   });
@@ -509,30 +211,9 @@
       View.Listed.reset();
 }
 
-/// \returns whether the list of all flows of \p Agent takes fewer bytes than
-/// \p Asked questions and their answers, about twice a listed flow each.
-bool listIsSmaller(const EntryFlows &E, const Endpoint &Agent,
-                   std::size_t Asked) {
-  const auto At = E.Agents.find(Agent);
-  return Asked >= ListFromSearches && At != E.Agents.end() &&
-         At->second.Report && At->second.Report->ActiveFlows < 2 * Asked;
-}
-
-/// Asks for a list, unless one is on its way: onFlowList() asks again for what
-/// that one doesn't answer.
-void askForList(Context &C, const Endpoint &Agent) {
-  AgentView &View = C.E.Agents[Agent];
-  if (View.Arriving && C.Now - View.Arriving->AskedAt < AskInterval)
-    return;
-  FlowList Arriving;
-  Arriving.Question = ++C.E.ListQuestions;
-  Arriving.AskedAt = C.Now;
-  ask(C, Agent, TunnelKind::ListFlows, encodeListQuestion(Arriving.Question));
-  View.Arriving = std::move(Arriving);
-}
-
 /// Handles a caller's packet once enough is known to place flows.
-void handle(Context &C, const Packet &P, absl::Span<const std::uint8_t> Raw) {
+void handle(EntryContext &C, const Packet &P,
+            absl::Span<const std::uint8_t> Raw) {
   const Route *Of = C.E.Routes->find(P.Flow.Service);
   if (!Of) {
     ++C.E.Counters.UnknownRoute;
@@ -548,7 +229,7 @@
 }
 
 /// Handles the packets that waited.
-void releaseWaiting(Context &C) {
+void releaseWaiting(EntryContext &C) {
   if (!startPlacing(C) || C.E.Waiting.empty())
     return;
   for (const auto &[Flow, W] : std::exchange(C.E.Waiting, {})) {
@@ -569,7 +250,7 @@
 
 void listAgents(EntryFlows &E, const std::vector<Endpoint> &Listed,
                 bool Complete, TimePoint Now, EntryEffects &Out) {
-  Context C{E, Now, Out};
+  EntryContext C{E, Now, Out};
   E.Listed = E.Listed || Complete;
   for (const Endpoint &Agent : Listed) {
     AgentView &View = E.Agents[Agent];
@@ -583,7 +264,7 @@
 
 void onCallerPacket(EntryFlows &E, absl::Span<const std::uint8_t> Raw,
                     TimePoint Now, EntryEffects &Out) {
-  Context C{E, Now, Out};
+  EntryContext C{E, Now, Out};
   ++E.Counters.PacketsFromCallers;
   const auto Decoded = E.Codec.Decode(Raw, Direction::FromCaller);
   if (!Decoded) {
@@ -599,7 +280,7 @@
 void onTunnel(EntryFlows &E, const Endpoint &From,
               absl::Span<const std::uint8_t> Datagram, TimePoint Now,
               EntryEffects &Out) {
-  Context C{E, Now, Out};
+  EntryContext C{E, Now, Out};
   const auto Decoded = decodeTunnel(Datagram);
   if (!Decoded) {
     ++E.Counters.Malformed;
@@ -626,27 +307,12 @@
 }
 
 void flush(EntryFlows &E, TimePoint Now, EntryEffects &Out) {
-  Context C{E, Now, Out};
-  for (auto &[Agent, Flows] : std::exchange(E.Asks, {})) {
-    if (listIsSmaller(E, Agent, Flows.size())) {
-      askForList(C, Agent);
-      continue;
-    }
-    for (std::size_t From = 0; From < Flows.size();
-         From += MaxFlowsPerDatagram) {
-      const std::size_t To = std::min(Flows.size(), From + MaxFlowsPerDatagram);
-      const std::vector<FlowKey> Part(
-          Flows.begin() + static_cast<std::ptrdiff_t>(From),
-          Flows.begin() + static_cast<std::ptrdiff_t>(To));
-      Out.emplace_back(
-          SendTunnel{Agent, encodeTunnel({TunnelKind::Locate, Holding::No, 0},
-                                         encodeFlowKeys(Part))});
-    }
-  }
+  EntryContext C{E, Now, Out};
+  flushQuestions(C);
 }
 
 void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out) {
-  Context C{E, Now, Out};
+  EntryContext C{E, Now, Out};
   releaseWaiting(C);
   tickSearches(C);
   if (Now >= E.SubscribeDue) {
