Elect a restarted leader without the waiting time

Change: a leader's first entry names its storage. A voter whose log says that the candidate led the voter's current term grants the vote at once: that leader has lost its lease with its process, and no earlier term's lease can last. A restarted leader asks at once and keeps asking. A voter that knows a newer term, or another leader, waits as before. The formats of messages and disk stay; entries of older logs name nobody. Ruled out: shorter timeouts, which would change leaders on slow hosts; a flag on disk, which costs a format.

--- a/include/jasminearch/consensus/detail/node_steps.h
+++ b/include/jasminearch/consensus/detail/node_steps.h
@@ -26,6 +26,10 @@
                                    TimePoint From, TimePoint To);
 
 // node_election.cpp
+/// \returns whether the log tells that \p StorageId led the current term. When
+/// such a host asks for votes, it doesn't lead any more, and no lease of this
+/// term or an earlier one can last.
+bool ledCurrentTerm(const NodeState &Node, const std::string &StorageId);
 void runElectionTimer(NodeState &Node, Effects &Out, TimePoint Now);
 void onVoteRequest(NodeState &Node, const std::string &Host,
                    const Message &Received, const VoteRequest &Body,
--- a/include/jasminearch/consensus/log_entry.h
+++ b/include/jasminearch/consensus/log_entry.h
@@ -35,7 +35,8 @@
 
 /// What an entry is for. Numbers are part of the disk and message formats.
 enum class EntryKind : std::uint8_t {
-  /// Appended by each new leader, so that it can commit in its own term.
+  /// Appended by each new leader, so that it can commit in its own term. The
+  /// payload is the leader's storage id; it is empty in logs of older versions.
   NoOp = 0,
   /// Payload is a member list; in force from the moment it is appended.
   Membership = 1,
--- a/src/consensus/node.cpp
+++ b/src/consensus/node.cpp
@@ -136,6 +136,8 @@
   Node.JoinDue = Now;
   adopt(Node, std::move(Stored));
   armElection(Node, Now, ElectionTimeoutMin, ElectionTimeoutMax);
+  if (ledCurrentTerm(Node, Node.Options.StorageId))
+    Node.ElectionDue = Now;
   return Node;
 }
 
--- a/src/consensus/node_election.cpp
+++ b/src/consensus/node_election.cpp
@@ -34,9 +34,20 @@
   return Granted > Voters / 2;
 }
 
+/// \returns whether a lease may last that a vote for \p Candidate would break.
+bool leaseMayLast(const NodeState &Node, const std::string &Candidate,
+                  TimePoint Now) {
+  return mayHaveLeader(Node, Now) && !ledCurrentTerm(Node, Candidate);
+}
+
 void armCampaignRetry(NodeState &Node, TimePoint Now) {
   constexpr unsigned MaxDoublings = 4;
-  const unsigned Doublings = std::min(Node.Campaigns, MaxDoublings);
+  // A leader that has restarted is the only one that needs no waiting time, so
+  // it keeps asking while the others start.
+  constexpr unsigned MaxDoublingsOfLeader = 1;
+  const bool Led = ledCurrentTerm(Node, Node.Options.StorageId);
+  const unsigned Doublings =
+      std::min(Node.Campaigns, Led ? MaxDoublingsOfLeader : MaxDoublings);
   ++Node.Campaigns;
   const auto Factor = Duration::rep{1} << Doublings;
   armElection(Node, Now,
@@ -82,7 +93,8 @@
                    const Message &Received, const VoteRequest &Body,
                    Effects &Out, TimePoint Now) {
   const bool Granted = Received.InTerm > Node.Hard.Current &&
-                       upToDate(Node, Body) && !mayHaveLeader(Node, Now);
+                       upToDate(Node, Body) &&
+                       !leaseMayLast(Node, Received.FromStorage, Now);
   send(Node, Out, Host, Received.FromStorage, VoteReply{true, Granted});
   if (Granted)
     Out.Messages.back().Content.InTerm = Received.InTerm;
@@ -90,6 +102,17 @@
 
 } // namespace
 
+bool ledCurrentTerm(const NodeState &Node, const std::string &StorageId) {
+  const auto &Entries = Node.Log.Entries;
+  for (auto At = Entries.rbegin();
+       At != Entries.rend() && At->InTerm == Node.Hard.Current; ++At)
+    if (At->Kind == EntryKind::NoOp)
+      return !StorageId.empty() &&
+             std::equal(At->Payload.begin(), At->Payload.end(),
+                        StorageId.begin(), StorageId.end());
+  return false;
+}
+
 void runElectionTimer(NodeState &Node, Effects &Out, TimePoint Now) {
   if (Now < Node.ElectionDue)
     return;
@@ -103,7 +126,7 @@
                    Effects &Out, TimePoint Now) {
   if (Body.PreVote)
     return answerPreVote(Node, Host, Received, Body, Out, Now);
-  if (mayHaveLeader(Node, Now))
+  if (leaseMayLast(Node, Received.FromStorage, Now))
     return;
   if (Received.InTerm > Node.Hard.Current)
     becomeFollower(Node, Received.InTerm, Out, Now);
--- a/src/consensus/node_leader.cpp
+++ b/src/consensus/node_leader.cpp
@@ -165,7 +165,8 @@
   Node.Peers.clear();
   Node.Joining.clear();
   trackPeers(Node);
-  appendOwn(Node, EntryKind::NoOp, {}, Out);
+  const std::string &Own = Node.Options.StorageId;
+  appendOwn(Node, EntryKind::NoOp, Bytes(Own.begin(), Own.end()), Out);
   Node.TermStart = lastIndex(Node.Log);
   for (const auto &[Host, Unused] : Node.Peers)
     sendToPeer(Node, Host, true, Out, Now);
--- a/tests/consensus_node_test.cpp
+++ b/tests/consensus_node_test.cpp
@@ -22,6 +22,20 @@
                   std::move(Stored), Now);
 }
 
+/// \p Host right after its restart in a term that \p Leader led.
+NodeState ledBy(const std::string &Leader, const std::string &Host,
+                TimePoint Now) {
+  StoredState Stored;
+  Stored.Hard.Current = 1;
+  Stored.Log.Entries.push_back(
+      {1, 1, EntryKind::Membership,
+       encodeMembers(
+           {{"a", "sa", true}, {"b", "sb", true}, {"c", "sc", true}})});
+  Stored.Log.Entries.push_back({2, 1, EntryKind::NoOp, bytesOf("s" + Leader)});
+  return makeNode({Host, "s" + Host, {"a", "b", "c"}, 1, 0}, std::move(Stored),
+                  Now);
+}
+
 template <typename Body>
 std::vector<Body> bodiesOf(const Effects &Step, const std::string &Host) {
   std::vector<Body> Bodies;
@@ -33,6 +47,17 @@
   return Bodies;
 }
 
+/// \returns whether \p Voter grants what \p Candidate asks for term 2.
+bool granted(NodeState &Voter, const std::string &Candidate,
+             const VoteRequest &Asked, TimePoint Now) {
+  const Effects Step = receive(
+      Voter, Candidate,
+      {"s" + Candidate, Voter.Options.StorageId, Voter.Hard.Current + 1, Asked},
+      Now);
+  const auto Replies = bodiesOf<VoteReply>(Step, Candidate);
+  return !Replies.empty() && Replies[0].Granted;
+}
+
 /// Makes \p Node a candidate by a granted pre-vote.
 void campaign(NodeState &Node, TimePoint &Now) {
   Now = Node.ElectionDue;
@@ -48,6 +73,8 @@
   CPPUNIT_TEST(countsCopiesOnMemberDisksOnly);
   CPPUNIT_TEST(commitsOldTermsOnlyWithItsOwn);
   CPPUNIT_TEST(restartedHostWaitsForLease);
+  CPPUNIT_TEST(restartedLeaderNeedsNoWait);
+  CPPUNIT_TEST(waitsForAnotherThanTheLeader);
   CPPUNIT_TEST(votesOncePerTerm);
   CPPUNIT_TEST(membershipWaitsForOwnTerm);
   CPPUNIT_TEST(leaderWithoutQuorumStepsDown);
@@ -137,6 +164,36 @@
     CPPUNIT_ASSERT(!VoteFor("b", "other"));
   }
 
+  /// Guards against a quarter of a second without a leader after all hosts have
+  /// restarted: the leader itself has lost its lease with its process.
+  void restartedLeaderNeedsNoWait() {
+    TimePoint Now = TimePoint(1h);
+    NodeState Leader = ledBy("a", "a", Now);
+    const auto Asked = bodiesOf<VoteRequest>(tick(Leader, Now), "b");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Asked.size());
+    NodeState Voter = ledBy("a", "b", Now);
+    CPPUNIT_ASSERT(granted(Voter, "a", Asked[0], Now));
+    VoteRequest Real = Asked[0];
+    Real.PreVote = false;
+    CPPUNIT_ASSERT(granted(Voter, "a", Real, Now));
+  }
+
+  /// Guards against a vote that breaks the lease of a living leader: the
+  /// candidate isn't the leader of the voter's term, or the voter knows a newer
+  /// term than the one that the candidate led.
+  void waitsForAnotherThanTheLeader() {
+    TimePoint Now = TimePoint(1h);
+    const VoteRequest Asked{true, 2, 1};
+    NodeState Voter = ledBy("c", "b", Now);
+    CPPUNIT_ASSERT(!granted(Voter, "a", Asked, Now));
+    CPPUNIT_ASSERT(granted(Voter, "c", Asked, Now));
+    NodeState Newer = ledBy("a", "b", Now);
+    Newer.Hard.Current = 2;
+    Message Request{"sa", "sb", 3, Asked};
+    const Effects Step = receive(Newer, "a", Request, Now);
+    CPPUNIT_ASSERT(!bodiesOf<VoteReply>(Step, "a").at(0).Granted);
+  }
+
   /// Guards against two majorities without a common host: a membership change
   /// by a leader that may not know of an earlier leader's change.
   void membershipWaitsForOwnTerm() {
