Check only upstreams that listen over TCP, and let the stand-in's do so

Its log has upstream_not_listening for an upstream that lived: the stand-in's upstreams had no TCP port, where the platform's answer health checks. The finding shows what the check relies on. Change: AgentOptions says whether the upstream listens while it runs; only then is it checked. The stand-in's upstreams accept connections.

--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -111,6 +111,9 @@
   /// Shorter than the time after which its address may belong to another
   /// service.
   std::chrono::milliseconds Lease{1800};
+  /// The upstream accepts TCP connections at its address for as long as its
+  /// process runs, so that a refused one shows that it holds nothing.
+  bool ListensWhileRunning = false;
   PacketCodec Codec;
 };
 
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -351,8 +351,8 @@
   AgentFlows &A = C.A;
   const bool Unanswered =
       A.UnansweredSince && C.Now - *A.UnansweredSince >= UnansweredChecked;
-  if (A.NotListening || A.Withdrawn || (A.Upstream && !Unanswered) ||
-      C.Now < A.ListenCheckDue)
+  if (!A.Options.ListensWhileRunning || A.NotListening || A.Withdrawn ||
+      (A.Upstream && !Unanswered) || C.Now < A.ListenCheckDue)
     return;
   A.ListenCheckDue = C.Now + ListenCheckInterval;
   A.ListenCheckOpen = true;
--- a/standins/jasminearch_flows.cpp
+++ b/standins/jasminearch_flows.cpp
@@ -11,6 +11,7 @@
 #include <jasminearch/net/datagram_batch.h>
 #include <jasminearch/settings.h>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <poll.h>
@@ -158,6 +159,9 @@
   std::uint32_t Number = 0;
   std::size_t Service = 0;
   net::UdpSocket Socket;
+  /// Where the platform's upstreams answer health checks; here connections are
+  /// accepted and closed.
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> Health;
   std::map<Endpoint, std::uint32_t> Flows;
 };
 
@@ -186,6 +190,7 @@
       U.Number = I;
       U.Service = I % 2;
       U.Socket = bound({AgentNet + I, UpstreamPort});
+      U.Health = listening({AgentNet + I, UpstreamPort});
       Upstreams.push_back(std::move(U));
     }
     for (std::uint32_t I = 1; I <= O.Callers; ++I) {
@@ -221,6 +226,21 @@
     return std::move(*Socket);
   }
 
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> listening(const Endpoint &E) {
+    using Tcp = boost::asio::ip::tcp;
+    auto Acceptor = std::make_unique<Tcp::acceptor>(
+        Context, Tcp::endpoint(boost::asio::ip::address_v4(E.Address), E.Port));
+    Acceptor->non_blocking(true);
+    return Acceptor;
+  }
+
+  /// Accepts and closes the connections that wait.
+  static void answerHealthChecks(Upstream &U) {
+    boost::system::error_code Failed;
+    while (!Failed)
+      U.Health->accept(Failed);
+  }
+
   void send(const net::UdpSocket &From, const Endpoint &To, const Bytes &Raw) {
     const auto Room = Out.next();
     std::memcpy(Room.data(), Raw.data(), Raw.size());
@@ -250,6 +270,8 @@
           atCaller(Callers[I - Upstreams.size()], In.datagram(K));
       }
     }
+    for (Upstream &U : Upstreams)
+      answerHealthChecks(U);
     for (Caller &C : Callers)
       act(C);
   }
@@ -494,6 +516,7 @@
   }
 
   Options O;
+  boost::asio::io_context Context;
   std::mt19937_64 Random;
   Tally T;
   std::vector<Upstream> Upstreams;
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(knowsThatNothingListensBeforeTheFirstAnnouncement);
   CPPUNIT_TEST(returnsPacketsOnceNothingListens);
   CPPUNIT_TEST(signsOfLifeOutweighARefusedCheck);
+  CPPUNIT_TEST(checksOnlyUpstreamsThatListen);
   CPPUNIT_TEST(listsAllFlowsInParts);
   CPPUNIT_TEST(listsWithoutCertaintyAfterARestart);
   CPPUNIT_TEST(servesWhatCanBeOnTimeFirst);
@@ -67,6 +68,7 @@
     A = {};
     A.Options.RunId = 0xBEEF;
     A.Options.Codec = codec();
+    A.Options.ListensWhileRunning = true;
     A.StartedAt = Now;
     Number = SawStart ? 0 : 5;
     announce(A, announced(), Now);
@@ -340,6 +342,16 @@
     }
   }
 
+  /// Guards against resets of live flows because an upstream has no TCP port,
+  /// as in the soak's seed 1.
+  void checksOnlyUpstreamsThatListen() {
+    begin();
+    A.Options.ListensWhileRunning = false;
+    A.Upstream.reset();
+    tick(A, Now, Out);
+    CPPUNIT_ASSERT(only<CheckListening>(Out).empty());
+  }
+
   /// Guards against lists that are cut off at the size of a datagram.
   void listsAllFlowsInParts() {
     begin(true);
