--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -5,7 +5,6 @@
 
 namespace jasminearch::flow::detail {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 namespace {
--- a/standins/http_call.h
+++ b/standins/http_call.h
@@ -63,8 +63,10 @@
   if (Answer.Status != TemporaryRedirect || Redirects == 0)
     return Answer;
   // http://ADDRESS:PORT/PATH
-  const std::string Rest =
-      Answer.Location.substr(std::string("http://").size());
+  const std::string Scheme = "http://";
+  if (Answer.Location.compare(0, Scheme.size(), Scheme) != 0)
+    return std::nullopt;
+  const std::string Rest = Answer.Location.substr(Scheme.size());
   const std::size_t Slash = Rest.find('/');
   boost::system::error_code Bad;
   const auto Address =
--- a/standins/jasminearch_flows.cpp
+++ b/standins/jasminearch_flows.cpp
@@ -482,7 +482,7 @@
     if (!Read || Read->Status != 200)
       return;
     const auto Document = nlohmann::json::parse(Read->Body, nullptr, false);
-    if (Document.is_discarded() ||
+    if (!Document.is_object() ||
         Document.value("version", std::uint64_t{0}) < Acknowledged)
       ++T.OldConfigurations;
   }
