--- a/include/jasminearch/fleet/control_node.h
+++ b/include/jasminearch/fleet/control_node.h
@@ -27,6 +27,16 @@
 /// Longer than an agent needs to find another control host.
 inline constexpr std::chrono::milliseconds AgentRecordLifetime{10'000};
 
+/// Time between two complete lists of agents on one link to an entry host.
+/// Changes are sent at once; the list only repairs what an entry host missed,
+/// and its size grows with the fleet.
+inline constexpr std::chrono::milliseconds AgentListInterval{20'000};
+
+/// After this uptime a control host counts its list of agents as complete even
+/// if it has neither loaded one nor received one from another control host.
+/// Longer than running agents need to link up again.
+inline constexpr std::chrono::milliseconds AgentListGracePeriod{3000};
+
 /// A control host that can't be reached and isn't a member is removed after
 /// this time.
 inline constexpr std::chrono::milliseconds ControlHostLifetime{20'000};
@@ -168,6 +178,7 @@
     TimePoint HeardAt{};
     TimePoint StatusDue{};
     TimePoint RoutesDue{};
+    TimePoint AgentListDue{};
     std::uint64_t SentVersion = 0;
   };
   struct PendingSubmission {
@@ -193,7 +204,9 @@
   void handleMessage(link::LinkId Id, IncomingLink &L, const Message &Value);
   void handleHello(link::LinkId Id, IncomingLink &L, const Hello &Value);
   void addControlHost(const std::string &Host);
-  void recordAgent(const Endpoint &Tunnel, TimePoint HeardAt);
+  /// \p ServiceTag is zero if the source doesn't know the service.
+  void recordAgent(const Endpoint &Tunnel, TimePoint HeardAt,
+                   std::uint32_t ServiceTag);
   void removeAgent(const Endpoint &Tunnel);
   void broadcast(const Message &Value);
   void loadAgents();
@@ -211,6 +224,9 @@
   Status status() const;
   std::vector<std::string> knownHosts() const;
   Agents allAgents(TimePoint Now) const;
+  Agents confirmedAgents(TimePoint Now) const;
+  void sendAgentList(link::LinkId Id, IncomingLink &L, TimePoint Now);
+  void sendAgentLists(TimePoint Now);
   bool hasRecentQuorum() const;
 
   ControlNodeOptions Options;
@@ -224,8 +240,19 @@
   std::map<std::string, Peer> Peers;
   std::map<link::LinkId, std::string> PeerByLink;
   std::map<link::LinkId, IncomingLink> IncomingLinks;
-  /// Known agents, and when a control host last heard from each.
-  std::map<Endpoint, TimePoint> AgentDirectory;
+  struct KnownAgent {
+    /// When a control host last heard from the agent.
+    TimePoint HeardAt{};
+    std::uint32_t ServiceTag = 0;
+    /// Some control host has heard from the agent since this host started.
+    /// Stored records aren't passed on, because the agent may have left while
+    /// this host was down.
+    bool Confirmed = true;
+  };
+  std::map<Endpoint, KnownAgent> AgentDirectory;
+  TimePoint StartedAt{};
+  /// The directory was loaded or received whole since the start.
+  bool AgentDirectoryReceived = false;
   /// When agents left, so that older reports of them don't add them again.
   std::map<Endpoint, TimePoint> DepartedAgents;
   AgentStore Store;
--- a/include/jasminearch/fleet/fleet_client.h
+++ b/include/jasminearch/fleet/fleet_client.h
@@ -38,9 +38,9 @@
 struct FleetClientHandlers {
   /// Called with the routes when a newer version arrives.
   std::function<void(std::shared_ptr<const flow::RouteIndex>)> RoutesChanged;
-  /// Called with agents that a control host knows; the flag tells whether the
-  /// list contains all of them.
-  std::function<void(const std::vector<Endpoint> &, bool)> AgentListReceived;
+  /// Called with agents that a control host knows; Agents::Complete tells
+  /// whether the list contains all of them.
+  std::function<void(const Agents &)> AgentListReceived;
   /// Called when an agent has left for good, after its upstream.
   std::function<void(const Endpoint &)> AgentLeft;
 };
@@ -60,6 +60,10 @@
 
   void setSeeds(std::vector<std::string> Seeds);
 
+  /// Sets the service of this agent's upstream and reports a change at once,
+  /// because entry hosts place flows only on agents of a known service.
+  void setServiceTag(std::uint32_t Tag);
+
   /// Tells the control host that this agent leaves for good.
   void leave();
 
@@ -76,6 +80,7 @@
   void closed(link::LinkId Id);
   void disconnect(std::string_view Reason);
   void connectToNextHost(TimePoint Now);
+  void sendStatus(TimePoint Now);
   void updateHosts(const std::vector<std::string> &Hosts);
 
   FleetClientOptions Options;
@@ -95,6 +100,7 @@
   /// When the control host last reported a recent quorum.
   TimePoint QuorumAt{};
   std::shared_ptr<const flow::RouteIndex> Routes;
+  std::uint32_t ServiceTag = 0;
   bool AgentListComplete = false;
   bool QuorumSeen = false;
   bool Leaving = false;
--- a/include/jasminearch/fleet/messages.h
+++ b/include/jasminearch/fleet/messages.h
@@ -34,6 +34,9 @@
   /// From a control host: time since a quorum last confirmed the leader.
   std::chrono::milliseconds QuorumAge{0};
   std::uint64_t RoutesVersion = 0;
+  /// From an agent: flow::serviceTag() of its upstream's service; zero before
+  /// the upstream's first announcement.
+  std::uint32_t ServiceTag = 0;
   auto operator<=>(const Status &) const = default;
 };
 
@@ -48,13 +51,16 @@
 struct AgentRecord {
   Endpoint Tunnel;
   std::chrono::milliseconds Age{0};
+  /// Tag of the service of the agent's upstream; zero if unknown.
+  std::uint32_t ServiceTag = 0;
   auto operator<=>(const AgentRecord &) const = default;
 };
 
-/// All agents that the sender knows, or only newly learned ones.
+/// All agents that the sender knows, or only new and changed ones.
 struct Agents {
   std::vector<AgentRecord> Known;
-  /// Whether Known contains all agents that the sender knows.
+  /// Whether Known contains all agents of the fleet, as far as the sender can
+  /// tell.
   bool Complete = false;
   auto operator<=>(const Agents &) const = default;
 };
--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -22,13 +22,6 @@
 /// takes packets and times and returns effects to carry out.
 namespace jasminearch::flow {
 
-/// Time between two load reports to a subscribed entry host.
-inline constexpr std::chrono::milliseconds LoadReportInterval{200};
-
-/// Time for which one Subscribe requests reports. Entry hosts renew it every
-/// SubscribeInterval, so that reports go on after two lost renewals.
-inline constexpr std::chrono::milliseconds SubscriptionDuration{1300};
-
 /// A flow counts as active if it had a packet within this time.
 inline constexpr std::chrono::milliseconds ActiveFlowWindow{12'000};
 
@@ -39,12 +32,6 @@
 /// Number of the first announcement after an upstream's start.
 inline constexpr std::uint64_t FirstAnnouncementNumber = 1;
 
-/// An upstream counts as crashed, and its flows as lost, if it has been silent
-/// for UpstreamSilenceTimeout and has left packets unanswered for
-/// UnansweredTimeout.
-inline constexpr std::chrono::milliseconds UpstreamSilenceTimeout{3000};
-inline constexpr std::chrono::milliseconds UnansweredTimeout{1000};
-
 /// An unanswered request no longer counts as in flight after this time, which
 /// is about what the full queue of an upstream at a fifth of its usual speed
 /// takes. Callers that give up leave such requests behind; without this limit,
@@ -59,9 +46,10 @@
 /// Minimum time between two listen checks.
 inline constexpr std::chrono::milliseconds ListenCheckInterval{200};
 
-/// If no upstream has announced itself this long after the agent's start, the
-/// agent assumes that there is none. Upstreams announce themselves every 1.2 s.
-inline constexpr std::chrono::milliseconds FirstAnnouncementTimeout{2000};
+/// A flow that was opened within this time before the first announcement of a
+/// new upstream process may belong to that process, which accepts flows before
+/// it announces itself. Longer than the delay of a first announcement.
+inline constexpr std::chrono::milliseconds UnannouncedFlowWindow{3000};
 
 /// Maximum number of entry hosts that an agent can distinguish by tag.
 inline constexpr std::size_t MaxEntryTags = 0xFFFF;
@@ -108,7 +96,6 @@
 enum class AnnouncementResult : std::uint8_t { Accepted, Outdated };
 
 struct AgentOptions {
-  std::string DataCentre;
   /// Identifies this run of the agent.
   std::uint64_t RunId = 0;
   /// The upstream gets no new flows once it has been silent for this long. Must
@@ -117,6 +104,8 @@
   std::chrono::milliseconds Lease{1800};
   /// The upstream accepts TCP connections at its address for as long as its
   /// process runs, so a refused connection proves that it holds no flows.
+  /// Without this, an upstream that ends without a withdrawal is never known to
+  /// be gone.
   bool ListensWhileRunning = false;
   PacketCodec Codec;
 };
@@ -124,6 +113,8 @@
 /// What the agent knows about one flow.
 struct AgentFlow {
   TimePoint LastSeen{};
+  /// When the opening packet was last delivered.
+  TimePoint OpenedAt{};
   /// When the currently unanswered request was first delivered.
   std::optional<TimePoint> RequestDeliveredAt;
   /// Highest sequence number of data from the caller. Data at or below it is a
@@ -165,6 +156,8 @@
   std::uint64_t Malformed = 0;
   std::uint64_t Announcements = 0;
   std::uint64_t AnnouncementsOutdated = 0;
+  /// Datagrams that a socket refused to send.
+  std::uint64_t SendsRefused = 0;
 };
 
 struct AgentFlows {
@@ -192,10 +185,7 @@
   /// upstream.
   std::vector<Endpoint> Entries;
   absl::flat_hash_map<Endpoint, std::uint16_t> EntryTags;
-  /// End of each entry host's subscription to load reports.
-  absl::flat_hash_map<Endpoint, TimePoint> Subscribers;
   std::uint64_t ReportNumber = 0;
-  TimePoint ReportDue{};
   TimePoint CleanUpDue{};
   /// When the first packet was delivered since the upstream last sent anything.
   std::optional<TimePoint> UnansweredSince;
@@ -274,10 +264,10 @@
 /// Runs timers; must be called at least every 50 ms.
 void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out);
 
-/// \returns whether the upstream is known to hold no flows: there is none, its
-/// process isn't running, it has withdrawn, or it has been silent while packets
-/// were unanswered.
-bool upstreamGone(const AgentFlows &A, TimePoint Now);
+/// \returns whether the upstream is known to hold no flows: no process listens
+/// at its address, or it has withdrawn. Silence is no evidence: an upstream
+/// that is slow, or whose announcements are late, still holds its flows.
+bool upstreamGone(const AgentFlows &A);
 
 /// \returns whether the upstream can take another flow immediately.
 bool hasCapacity(const AgentFlows &A, TimePoint Now);
--- a/include/jasminearch/flow/detail/entry_steps.h
+++ b/include/jasminearch/flow/detail/entry_steps.h
@@ -33,9 +33,29 @@
 /// Sends a tunnel message that carries no packet.
 void sendMessage(EntryContext &C, const Endpoint &Agent, TunnelKind Kind,
                  const Bytes &Payload);
-/// \returns whether the upstream beside \p Agent is known to hold no flows: the
-/// agent reported so, has been silent for too long, or is no longer known.
-bool holdsNoFlows(const EntryContext &C, const Endpoint &Agent);
+/// \returns whether there is evidence from \p Since or later that the upstream
+/// beside \p Agent holds no flows: the agent reported so, or a control host
+/// reported that the agent has left. The age of a report is no evidence.
+bool holdsNoFlows(const EntryContext &C, const Endpoint &Agent,
+                  TimePoint Since);
+
+// entry_openings.cpp
+/// Handles an opening packet of a route that exists, which arrived from the
+/// caller at \p ArrivedAt.
+void onOpening(EntryContext &C, const Packet &P,
+               absl::Span<const std::uint8_t> Raw, TimePoint ArrivedAt);
+/// Offers an opening that \p Excluded have declined to another upstream.
+/// \p ArrivedAt is when the packet arrived from the caller.
+void offerAgain(EntryContext &C, const FlowKey &Flow,
+                absl::Span<const std::uint8_t> Raw, TimePoint ArrivedAt,
+                std::vector<Endpoint> Excluded);
+/// Stores an agent's load report and continues the openings that wait for it.
+void onLoad(EntryContext &C, const Endpoint &From,
+            absl::Span<const std::uint8_t> Payload);
+/// Continues openings whose probes have not been answered in time.
+void tickOpenings(EntryContext &C);
+/// Sets the service of an agent's upstream unless \p ServiceTag is zero.
+void setService(EntryFlows &E, const Endpoint &Agent, std::uint32_t ServiceTag);
 
 // entry_search.cpp
 /// Starts a search for the flow of \p P at all agents except \p Excluded, and
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -26,8 +26,26 @@
 /// out to be wrong, the entry host queries the agents.
 namespace jasminearch::flow {
 
-/// Time between two Subscribe messages to an agent.
-inline constexpr std::chrono::milliseconds SubscribeInterval{400};
+/// Maximum age of a load report that is used to place a flow. Older reports are
+/// renewed by a probe when a flow opens, so that the messages of an entry host
+/// depend on the flows it opens and not on the number of agents.
+inline constexpr std::chrono::milliseconds MaxReportReuse{150};
+
+/// Time that an opening waits for the answers to its probes. Longer than a
+/// round trip between data centres and the scheduling delay of a busy agent. An
+/// agent that takes longer gets no new flows until it answers.
+inline constexpr std::chrono::milliseconds ProbeTimeout{60};
+
+/// Minimum time between two probes of an agent that doesn't answer.
+inline constexpr std::chrono::milliseconds ProbeRetryInterval{200};
+
+/// Number of agents whose reports are compared for an opening: first
+/// CandidatesPerFlow; if none of these can take the flow, the next
+/// highest-ranked ones, in waves that grow by WaveGrowthFactor up to this sum.
+inline constexpr std::size_t MaxProbedPerOpening = 84;
+
+/// Maximum number of openings that wait for answers to probes.
+inline constexpr std::size_t MaxPendingOpenings = 4096;
 
 /// Delay before a search queries an agent again that hasn't answered; doubles
 /// with each retry up to MaxLocateRetryInterval. Longer than a round trip
@@ -48,18 +66,9 @@
 /// agent that is just restarting still ends the search in time.
 inline constexpr std::chrono::milliseconds SearchTimeout{2000};
 
-/// An agent that has been silent for this long counts as gone: searches don't
-/// wait for its answer.
-inline constexpr std::chrono::milliseconds AgentSilenceTimeout{3000};
-
-/// The same for an agent that has never reported to this host, or whose last
-/// report contained no upstream. For a while, agent lists still contain agents
-/// whose hosts were removed; an agent that merely restarts reports again within
-/// a second.
-inline constexpr std::chrono::milliseconds IdleAgentSilenceTimeout{1500};
-
-/// An agent that is neither listed by the control hosts nor reports is removed
-/// after this time.
+/// An agent that has neither answered nor been listed for this long before a
+/// complete list without it is removed. Silence alone removes no agent: its
+/// upstream may still hold flows.
 inline constexpr std::chrono::milliseconds AgentExpiry{10'000};
 
 /// Maximum number of upstreams that an opening packet is offered to before the
@@ -73,10 +82,6 @@
 /// dropped; their retransmissions start a new attempt.
 inline constexpr std::size_t MaxSearches = 4096;
 
-/// Time that an entry host waits for the first report of a listed agent before
-/// it places flows without that agent.
-inline constexpr std::chrono::milliseconds FirstReportTimeout{250};
-
 /// Limits for packets that arrive before a starting entry host can place flows:
 /// number of flows, with one packet each, and waiting time. Callers give up an
 /// opening after 1.4 s, so older packets needn't be kept.
@@ -110,14 +115,28 @@
   absl::flat_hash_map<FlowKey, FlowPresence> Flows;
 };
 
+/// An agent that a control host listed.
+struct ListedAgent {
+  Endpoint Tunnel;
+  /// serviceTag() of its upstream's service; zero if unknown.
+  std::uint32_t ServiceTag = 0;
+
+  auto operator<=>(const ListedAgent &) const = default;
+};
+
 /// What an entry host knows about an agent.
 struct AgentView {
+  /// Service of its upstream, as listed or reported; zero if unknown.
+  std::uint32_t ServiceTag = 0;
   std::optional<LoadReport> Report;
   TimePoint ReportedAt{};
   /// When the agent was last listed by the control hosts or sent a report.
   TimePoint KnownAt{};
-  /// When the agent was first listed or reported.
-  TimePoint FirstKnownAt{};
+  /// When the first unanswered probe and the last probe were sent.
+  std::optional<TimePoint> UnansweredSince;
+  TimePoint ProbedAt{};
+  /// Openings that wait for the agent's report.
+  std::vector<FlowKey> WaitingOpenings;
   /// Number of flows that this host placed on the agent since its last report.
   std::uint32_t PlacedSinceReport = 0;
   /// The newest complete flow list, and the one being received.
@@ -138,6 +157,23 @@
   std::vector<Endpoint> Excluded;
 };
 
+/// An opening that waits for load reports.
+struct PendingOpening {
+  Bytes Raw;
+  TimePoint ArrivedAt{};
+  /// When the probes of the current wave were sent; empty before that.
+  std::optional<TimePoint> ProbedAt;
+  /// Index of the service that is tried, in the order of preference.
+  std::size_t ServiceIndex = 0;
+  /// Number of agents whose reports are compared.
+  std::size_t WaveSize = CandidatesPerFlow;
+  /// The agent that was sent an earlier copy of this opening. It gets this copy
+  /// too unless its upstream is silent.
+  std::optional<Endpoint> Earlier;
+  /// Agents that have declined the flow.
+  std::vector<Endpoint> Excluded;
+};
+
 /// A running search for the agent that holds a flow.
 struct Search {
   TimePoint StartedAt{};
@@ -180,26 +216,34 @@
   std::uint64_t SearchExpired = 0;
   std::uint64_t SearchOverflow = 0;
   std::uint64_t Returned = 0;
+  std::uint64_t Probes = 0;
+  std::uint64_t ProbesUnanswered = 0;
+  /// Datagrams that a socket refused to send.
+  std::uint64_t SendsRefused = 0;
 };
 
 struct EntryFlows {
   PacketCodec Codec;
   std::shared_ptr<const RouteIndex> Routes;
   absl::flat_hash_map<Endpoint, AgentView> Agents;
+  /// The agents of each service, by service tag.
+  absl::flat_hash_map<std::uint32_t, std::vector<Endpoint>> AgentsByService;
+  /// When a control host last sent a complete list of agents.
+  TimePoint CompleteListAt{};
+  absl::flat_hash_map<FlowKey, PendingOpening> PendingOpenings;
   absl::flat_hash_map<FlowKey, CachedFlow> Flows;
   absl::flat_hash_map<FlowKey, Search> Searches;
   /// Packets that wait until flows can be placed, the newest of each flow.
   absl::flat_hash_map<FlowKey, WaitingPacket> Waiting;
-  /// Routes and the agent list are complete, and the agents have had time to
-  /// report. Once set, it is never cleared: even outdated information is better
-  /// than what is available right after a start.
+  /// Routes and the agent list are complete. Once set, it is never cleared:
+  /// even outdated information is better than what is available right after a
+  /// start.
   bool CanPlace = false;
   /// A control host has sent a list of all agents.
   bool AgentListComplete = false;
   /// Flows to query each agent for on the next flush().
   absl::flat_hash_map<Endpoint, std::vector<FlowKey>> QueuedQueries;
   std::uint32_t LastFlowListRequestId = 0;
-  TimePoint SubscribeDue{};
   TimePoint CleanUpDue{};
   EntryCounters Counters;
 };
@@ -232,10 +276,14 @@
 /// Replaces the routes unless \p Routes is older than those in force.
 void setRoutes(EntryFlows &E, std::shared_ptr<const RouteIndex> Routes);
 
-/// Adds agents that a control host listed and subscribes to their reports.
-/// \p Complete tells whether the list contains all known agents.
-void addListedAgents(EntryFlows &E, const std::vector<Endpoint> &Listed,
-                     bool Complete, TimePoint Now, EntryEffects &Out);
+/// Adds agents that a control host listed. \p Complete tells whether the list
+/// contains all known agents.
+void addListedAgents(EntryFlows &E, const std::vector<ListedAgent> &Listed,
+                     bool Complete, TimePoint Now);
+
+/// Removes an agent that has left, as a control host reported: its upstream is
+/// gone and holds no flows.
+void removeAgent(EntryFlows &E, const Endpoint &Agent);
 
 /// Handles a packet from a caller.
 void onCallerPacket(EntryFlows &E, absl::Span<const std::uint8_t> Raw,
--- a/include/jasminearch/flow/entry_loop.h
+++ b/include/jasminearch/flow/entry_loop.h
@@ -38,7 +38,7 @@
   /// Ends run(). This function and those below are thread-safe.
   void stop();
   void setRoutes(std::shared_ptr<const RouteIndex> Routes);
-  void addListedAgents(std::vector<Endpoint> Agents, bool Complete);
+  void addListedAgents(std::vector<ListedAgent> Agents, bool Complete);
 
   void agentLeft(const Endpoint &Agent);
 
--- a/include/jasminearch/flow/load_report.h
+++ b/include/jasminearch/flow/load_report.h
@@ -6,7 +6,6 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
-#include <string>
 
 namespace jasminearch::flow {
 
@@ -20,15 +19,14 @@
   Draining = 2,
 };
 
-/// An agent's load report, sent to entry hosts several times a second.
+/// An agent's load report, the answer to an entry host's probe.
 struct LoadReport {
   /// Identifies the run of the agent.
   std::uint64_t RunId = 0;
   /// Sequence number of the report within the run.
   std::uint64_t Number = 0;
-  std::string Service;
-  std::string UpstreamName;
-  std::string DataCentre;
+  /// serviceTag() of the upstream's service; zero if there is no upstream.
+  std::uint32_t ServiceTag = 0;
   UpstreamState State = UpstreamState::Unknown;
   /// Number of requests that the upstream handles concurrently.
   std::uint32_t Slots = 1;
@@ -41,8 +39,7 @@
   /// Time since the first unanswered packet was delivered; zero if the upstream
   /// has sent anything since the last delivery.
   std::chrono::milliseconds Silent{0};
-  /// The upstream is known to hold no flows, so that agents needn't be queried
-  /// for it.
+  /// The upstream is known to hold no flows at the time of the report.
   bool HoldsNoFlows = false;
   /// Moving average of the time from a request to the first data of its
   /// response.
--- a/include/jasminearch/flow/placement.h
+++ b/include/jasminearch/flow/placement.h
@@ -9,15 +9,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
 
 /// Selection of the upstream for a new flow.
 namespace jasminearch::flow {
 
-/// Maximum age of a report that counts as a sign of life: three report
-/// intervals plus the usual delay of a busy agent.
-inline constexpr std::chrono::milliseconds MaxReportAge{900};
-
 /// An upstream that has left packets unanswered for this long gets new flows
 /// only if no other upstream answers.
 inline constexpr std::chrono::milliseconds SilenceThreshold{400};
@@ -27,9 +22,9 @@
 inline constexpr double IdleFlowLoad = 0.35;
 
 /// Number of upstreams, selected by the flow's hash, among which a new flow is
-/// placed. All entry hosts see the same reports; if each chose among all
-/// upstreams, they would all send their next flows to the same one. The limit
-/// also reduces the number of agents that a search must query first.
+/// placed. If each entry host chose among all upstreams, they would all send
+/// their next flows to the least loaded one. The limit also bounds the probes
+/// for one opening, and the agents that a search must query first.
 inline constexpr std::size_t CandidatesPerFlow = 4;
 
 /// Speed of an upstream during its cold start, relative to its full speed.
@@ -40,7 +35,7 @@
   Endpoint Agent;
   /// Never null.
   const LoadReport *Report = nullptr;
-  /// Age of the report.
+  /// Age of the report; bounded by MaxReportReuse.
   std::chrono::milliseconds Age{0};
   /// Number of flows that this entry host placed on the agent since the report
   /// arrived.
@@ -49,8 +44,8 @@
   auto operator<=>(const Candidate &) const = default;
 };
 
-/// \returns whether \p C can take new flows of \p Service.
-bool isEligible(const Candidate &C, const std::string &Service);
+/// \returns whether \p C can take new flows of the service with this tag.
+bool isEligible(const Candidate &C, std::uint32_t ServiceTag);
 
 /// \returns the expected load after one more flow, relative to the upstream's
 /// capacity.
@@ -67,7 +62,7 @@
 /// index of the candidate, or nothing if none is eligible. Complexity: N log N
 /// in the number of candidates.
 std::optional<std::size_t> place(absl::Span<const Candidate> Candidates,
-                                 const std::string &Service, RequestKind Kind,
+                                 std::uint32_t ServiceTag, RequestKind Kind,
                                  std::uint64_t Hash,
                                  absl::Span<const Endpoint> Excluded);
 
--- a/include/jasminearch/flow/tunnel.h
+++ b/include/jasminearch/flow/tunnel.h
@@ -26,9 +26,9 @@
   /// Agent to entry: the answer to Locate, or an unsolicited message that the
   /// upstream holds a flow.
   Located = 4,
-  /// Entry to agent: requests load reports for a limited time.
-  Subscribe = 5,
-  /// Agent to entry: a LoadReport.
+  /// Entry to agent: requests one load report.
+  Probe = 5,
+  /// Agent to entry: a LoadReport, the answer to Probe.
   Load = 6,
   /// Entry to agent: requests a list of all flows that the upstream holds.
   ListFlows = 7,
--- a/include/jasminearch/net/datagram_batch.h
+++ b/include/jasminearch/net/datagram_batch.h
@@ -70,9 +70,14 @@
   /// dropped. \returns the number of datagrams sent.
   std::size_t flush(const UdpSocket &Socket);
 
+  /// \returns the number of datagrams that the socket has refused so far, for
+  /// example because its buffer was full.
+  std::uint64_t refused() const { return Refused; }
+
 private:
   detail::BatchBuffers Buffers;
   std::size_t Count = 0;
+  std::uint64_t Refused = 0;
 };
 
 } // namespace jasminearch::net
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -22,7 +22,7 @@
 ControlNode::ControlNode(ControlNodeOptions InitialOptions, const Clock &Time,
                          LogOpener Open, AgentStore Store)
     : Options(std::move(InitialOptions)), Time(Time), Open(std::move(Open)),
-      Seeds(Options.Seeds.begin(), Options.Seeds.end()),
+      Seeds(Options.Seeds.begin(), Options.Seeds.end()), StartedAt(Time.now()),
       Store(std::move(Store)) {
   for (const std::string &Host : Seeds)
     addControlHost(Host);
@@ -200,7 +200,7 @@
   P.HeardAt = P.KnownAt = Now;
   P.StatusDue = Now + StatusInterval;
   send(Id, Hello{Role::Control, Options.Host, {}, version()});
-  send(Id, allAgents(Now));
+  send(Id, confirmedAgents(Now));
   logEvent(LogLevel::Info, "control_host_linked", {{"peer", Host->second}});
 }
 
@@ -250,10 +250,10 @@
   if (Value.Sender == Role::Control)
     addControlHost(Value.Host);
   if (Value.Sender == Role::Agent)
-    recordAgent(Value.Tunnel, Time.now());
+    recordAgent(Value.Tunnel, Time.now(), 0);
   send(Id, ControlHosts{knownHosts()});
   if (Value.Sender == Role::Entry)
-    send(Id, allAgents(Time.now()));
+    sendAgentList(Id, L, Time.now());
 }
 
 void ControlNode::handleMessage(link::LinkId Id, IncomingLink &L,
@@ -268,11 +268,16 @@
       Log->receive(L.From.Host, M->Body);
   } else if (const auto *M = std::get_if<Agents>(&Value)) {
     for (const AgentRecord &R : M->Known)
-      recordAgent(R.Tunnel, Now - R.Age);
+      recordAgent(R.Tunnel, Now - R.Age, R.ServiceTag);
+    if (M->Complete && !AgentDirectoryReceived) {
+      AgentDirectoryReceived = true;
+      sendAgentLists(Now);
+    }
   } else if (const auto *M = std::get_if<AgentDeparted>(&Value)) {
     removeAgent(M->Tunnel);
-  } else if (std::get_if<Status>(&Value) && L.From.Sender == Role::Agent) {
-    recordAgent(L.From.Tunnel, Now);
+  } else if (const auto *M = std::get_if<Status>(&Value);
+             M && L.From.Sender == Role::Agent) {
+    recordAgent(L.From.Tunnel, Now, M->ServiceTag);
   }
 }
 
@@ -280,27 +285,66 @@
 
 Agents ControlNode::allAgents(TimePoint Now) const {
   Agents All;
-  All.Complete = true;
-  for (const auto &[Tunnel, HeardAt] : AgentDirectory)
-    All.Known.push_back({Tunnel, duration_cast<milliseconds>(Now - HeardAt)});
+  All.Complete =
+      AgentDirectoryReceived || Now - StartedAt >= AgentListGracePeriod;
+  for (const auto &[Tunnel, Agent] : AgentDirectory)
+    All.Known.push_back({Tunnel,
+                         duration_cast<milliseconds>(Now - Agent.HeardAt),
+                         Agent.ServiceTag});
   return All;
 }
 
-void ControlNode::recordAgent(const Endpoint &Tunnel, TimePoint HeardAt) {
+Agents ControlNode::confirmedAgents(TimePoint Now) const {
+  Agents Confirmed = allAgents(Now);
+  std::erase_if(Confirmed.Known, [this](const AgentRecord &R) {
+    return !AgentDirectory.at(R.Tunnel).Confirmed;
+  });
+  return Confirmed;
+}
+
+void ControlNode::sendAgentList(link::LinkId Id, IncomingLink &L,
+                                TimePoint Now) {
+  const Agents All = allAgents(Now);
+  // An incomplete list is followed by a complete one after the grace period.
+  L.AgentListDue = Now + (All.Complete ? AgentListInterval
+                                       : milliseconds(AgentListGracePeriod));
+  send(Id, All);
+}
+
+void ControlNode::sendAgentLists(TimePoint Now) {
+  for (auto &[Id, L] : IncomingLinks)
+    if (L.HelloReceived && L.From.Sender == Role::Entry)
+      sendAgentList(Id, L, Now);
+}
+
+void ControlNode::recordAgent(const Endpoint &Tunnel, TimePoint HeardAt,
+                              std::uint32_t ServiceTag) {
   const TimePoint Now = Time.now();
   const auto Departure = DepartedAgents.find(Tunnel);
   const bool Stale =
       Departure != DepartedAgents.end() && HeardAt <= Departure->second;
   if (Stale || Now - HeardAt >= AgentRecordLifetime)
     return;
-  const auto [It, New] = AgentDirectory.try_emplace(Tunnel, HeardAt);
-  It->second = std::max(It->second, HeardAt);
-  if (!New)
+  const auto [It, New] = AgentDirectory.try_emplace(Tunnel);
+  KnownAgent &Agent = It->second;
+  // Only newer information changes the service: the address may have been
+  // assigned to another upstream since.
+  const bool ServiceChanged = ServiceTag != 0 &&
+                              ServiceTag != Agent.ServiceTag &&
+                              HeardAt >= Agent.HeardAt;
+  if (ServiceChanged)
+    Agent.ServiceTag = ServiceTag;
+  Agent.HeardAt = std::max(Agent.HeardAt, HeardAt);
+  Agent.Confirmed = true;
+  if (!New && !ServiceChanged)
     return;
   AgentDirectoryChanged = true;
-  logEvent(LogLevel::Info, "agent_known", {{"agent", toString(Tunnel)}});
-  broadcast(
-      Agents{{{Tunnel, duration_cast<milliseconds>(Now - HeardAt)}}, false});
+  logEvent(LogLevel::Info, "agent_known",
+           {{"agent", toString(Tunnel)},
+            {"service_tag", std::uint64_t{Agent.ServiceTag}}});
+  broadcast(Agents{{{Tunnel, duration_cast<milliseconds>(Now - Agent.HeardAt),
+                     Agent.ServiceTag}},
+                   false});
 }
 
 /// Sends a message to all entry hosts and control hosts.
@@ -342,7 +386,8 @@
   // The age of stored records is unknown, so each agent gets the full lifetime
   // to be heard from again.
   for (const AgentRecord &R : Known->Known)
-    AgentDirectory.emplace(R.Tunnel, Time.now());
+    AgentDirectory[R.Tunnel] = {Time.now(), R.ServiceTag, false};
+  AgentDirectoryReceived = true;
   logEvent(LogLevel::Info, "agents_loaded",
            {{"agents", std::uint64_t{AgentDirectory.size()}}});
 }
@@ -417,6 +462,8 @@
       L.StatusDue = Now + StatusInterval;
       send(Id, status());
     }
+    if (L.From.Sender == Role::Entry && Now >= L.AgentListDue)
+      sendAgentList(Id, L, Now);
     const bool Newer = Current && L.SentVersion < Current->Version;
     if (!Newer || !receivesRoutes(L.From) || Now < L.RoutesDue ||
         !hasRecentQuorum())
@@ -438,21 +485,17 @@
   GossipDue = Now + GossipInterval;
   AgentDirectoryChanged |=
       std::erase_if(AgentDirectory, [Now](const auto &Item) {
-        return Now - Item.second >= AgentRecordLifetime;
+        return Now - Item.second.HeardAt >= AgentRecordLifetime;
       }) != 0;
   std::erase_if(DepartedAgents, [Now](const auto &Item) {
     return Now - Item.second >= AgentRecordLifetime;
   });
   saveAgents();
-  const Bytes All = encode(allAgents(Now));
+  const Bytes All = encode(confirmedAgents(Now));
   const Bytes Hosts = encode(ControlHosts{knownHosts()});
-  for (const auto &[Id, L] : IncomingLinks) {
-    if (!L.HelloReceived)
-      continue;
-    Hub->send(Id, Hosts);
-    if (L.From.Sender == Role::Entry)
-      Hub->send(Id, All);
-  }
+  for (const auto &[Id, L] : IncomingLinks)
+    if (L.HelloReceived)
+      Hub->send(Id, Hosts);
   for (const auto &[Host, P] : Peers)
     if (P.Open)
       Hub->send(*P.Link, All);
--- a/src/fleet/fleet_client.cpp
+++ b/src/fleet/fleet_client.cpp
@@ -54,9 +54,9 @@
   Open = true;
   ReconnectDelay = MinReconnectDelay;
   HeardAt = QuorumAt = Now;
-  StatusDue = Now + StatusInterval;
   Hub->send(
       Id, encode(Hello{Options.Own, Options.Host, Options.Tunnel, version()}));
+  sendStatus(Now);
   logEvent(LogLevel::Info, "control_linked",
            {{"control", LinkedHost}, {"version", version()}});
 }
@@ -103,11 +103,8 @@
     updateHosts(M->Hosts);
   } else if (const auto *M = std::get_if<Agents>(&*Decoded)) {
     AgentListComplete = AgentListComplete || M->Complete;
-    std::vector<Endpoint> Known;
-    for (const AgentRecord &R : M->Known)
-      Known.push_back(R.Tunnel);
     if (Handlers.AgentListReceived)
-      Handlers.AgentListReceived(Known, M->Complete);
+      Handlers.AgentListReceived(*M);
   } else if (const auto *M = std::get_if<AgentDeparted>(&*Decoded)) {
     if (Handlers.AgentLeft)
       Handlers.AgentLeft(M->Tunnel);
@@ -158,8 +155,17 @@
     return disconnect("no recent quorum");
   if (Now < StatusDue)
     return;
+  sendStatus(Now);
+}
+
+void FleetClient::sendStatus(TimePoint Now) {
   StatusDue = Now + StatusInterval;
-  Hub->send(*Link, encode(Status{{}, version()}));
+  Hub->send(*Link, encode(Status{{}, version(), ServiceTag}));
+}
+
+void FleetClient::setServiceTag(std::uint32_t Tag) {
+  if (std::exchange(ServiceTag, Tag) != Tag && Open)
+    sendStatus(Time.now());
 }
 
 } // namespace jasminearch::fleet
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -97,12 +97,15 @@
   return {static_cast<unsigned>(M.Sender), M.Host, toJson(M.Tunnel),
           M.RoutesVersion};
 }
-json fields(const Status &M) { return {M.QuorumAge.count(), M.RoutesVersion}; }
+json fields(const Status &M) {
+  return {M.QuorumAge.count(), M.RoutesVersion, M.ServiceTag};
+}
 json fields(const ControlHosts &M) { return json::array({M.Hosts}); }
 json fields(const Agents &M) {
   json Known = json::array();
   for (const AgentRecord &R : M.Known)
-    Known.push_back(json::array({toJson(R.Tunnel), R.Age.count()}));
+    Known.push_back(
+        json::array({toJson(R.Tunnel), R.Age.count(), R.ServiceTag}));
   return json::array({std::move(Known), M.Complete});
 }
 json fields(const Consensus &M) { return json::array({json::binary(M.Body)}); }
@@ -126,16 +129,22 @@
 }
 
 Status readStatus(ArrayReader &R) {
-  const milliseconds Age = R.time();
-  return {Age, R.next<std::uint64_t>()};
+  Status M;
+  M.QuorumAge = R.time();
+  M.RoutesVersion = R.next<std::uint64_t>();
+  M.ServiceTag = R.next<std::uint32_t>();
+  return M;
 }
 
 Agents readAgents(ArrayReader &R) {
   Agents M;
   for (const json &J : R.element()) {
     ArrayReader Record(J);
-    const Endpoint Tunnel = toEndpoint(Record.element());
-    M.Known.push_back({Tunnel, Record.time()});
+    AgentRecord Known;
+    Known.Tunnel = toEndpoint(Record.element());
+    Known.Age = Record.time();
+    Known.ServiceTag = Record.next<std::uint32_t>();
+    M.Known.push_back(Known);
   }
   M.Complete = R.next<bool>();
   return M;
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -145,6 +145,7 @@
   F.Entry = Entry;
   if (P.Opens) {
     F.Ended = false;
+    F.OpenedAt = C.Now;
     F.NewestSequence.reset();
   }
   if (recordNewData(F, P) && !F.RequestDeliveredAt) {
@@ -279,7 +280,7 @@
   if (P.Opens)
     return onOpening(C, Entry, Header, P, Raw);
   const bool Unknown = !C.A.Flows.contains(P.Flow);
-  if (upstreamGone(C.A, C.Now) || (Unknown && knowsAllFlows(C.A))) {
+  if (upstreamGone(C.A) || (Unknown && knowsAllFlows(C.A))) {
     ++C.A.Counters.NotHeld;
     return returnPacket(C, Entry, FlowPresence::No, Raw);
   }
@@ -288,7 +289,7 @@
 }
 
 FlowPresence flowPresence(const Context &C, const FlowKey &Flow) {
-  if (upstreamGone(C.A, C.Now))
+  if (upstreamGone(C.A))
     return FlowPresence::No;
   const auto It = C.A.Flows.find(Flow);
   if (It == C.A.Flows.end())
@@ -310,7 +311,7 @@
 void onListFlows(Context &C, const Endpoint &Entry, std::uint32_t RequestId) {
   FlowListPart Part;
   Part.RequestId = RequestId;
-  Part.UnlistedPresence = knowsAllFlows(C.A) || upstreamGone(C.A, C.Now)
+  Part.UnlistedPresence = knowsAllFlows(C.A) || upstreamGone(C.A)
                               ? FlowPresence::No
                               : FlowPresence::Unsure;
   std::vector<FlowLocation> All;
@@ -340,6 +341,14 @@
     ++C.A.Counters.Malformed;
     return;
   }
+  // An upstream may return a copy of an opening packet whose flow it holds. The
+  // flow stays here: a second upstream must not get it.
+  const auto Known = C.A.Flows.find(Decoded->Flow);
+  if (Decoded->Opens && Known != C.A.Flows.end() && Known->second.Confirmed) {
+    recordDecision(C, "returned_dropped", Decoded->Flow,
+                   "the upstream holds the flow of this opening's copy");
+    return;
+  }
   removeFlow(C.A, Decoded->Flow);
   const auto Entry = entryForTag(C.A, Decoded->Tag);
   if (!Entry) {
@@ -363,19 +372,31 @@
 }
 
 /// Starts a listen check if the upstream hasn't announced itself in this run,
-/// or leaves packets unanswered.
+/// has let its lease expire, or leaves packets unanswered.
 void checkListening(Context &C) {
   AgentFlows &A = C.A;
   const bool Unanswered =
       A.UnansweredSince && C.Now - *A.UnansweredSince >= ListenCheckDelay;
   if (!A.Options.ListensWhileRunning || A.NotListening || A.Withdrawn ||
-      (A.Upstream && !Unanswered) || C.Now < A.ListenCheckDue)
+      (hasLease(A, C.Now) && !Unanswered) || C.Now < A.ListenCheckDue)
     return;
   A.ListenCheckDue = C.Now + ListenCheckInterval;
   A.ListenCheckPending = true;
   C.Out.emplace_back(StartListenCheck{});
 }
 
+/// Forgets the flows of the upstream's former process. Flows that were opened
+/// recently may belong to the new process already; they stay, unconfirmed,
+/// until the upstream answers on them or returns their packets.
+void forgetEarlierFlows(AgentFlows &A, TimePoint Now) {
+  absl::erase_if(A.Flows, [Now](auto &Item) {
+    AgentFlow &F = Item.second;
+    F.Confirmed = F.InFlight = F.FirstRequestPending = false;
+    F.RequestDeliveredAt.reset();
+    return Now - F.OpenedAt >= UnannouncedFlowWindow;
+  });
+}
+
 void removeExpired(AgentFlows &A, TimePoint Now) {
   absl::erase_if(A.Flows, [&A, Now](auto &Item) {
     if (Now - Item.second.LastSeen < AgentFlowExpiry)
@@ -383,8 +404,6 @@
     endRequest(A, Item.second);
     return true;
   });
-  absl::erase_if(A.Subscribers,
-                 [Now](const auto &Item) { return Now >= Item.second; });
 }
 
 } // namespace
@@ -405,7 +424,7 @@
     // A restarted upstream holds none of its earlier flows.
     if (Value.StartedAtMs != Current.StartedAtMs ||
         Value.Name != Current.Name) {
-      A.Flows.clear();
+      forgetEarlierFlows(A, Now);
       A.HeardFirstAnnouncement = false;
       A.InFlight = 0;
       A.RecentOpenings.clear();
@@ -417,7 +436,6 @@
       A.HeardFirstAnnouncement || Value.Number <= FirstAnnouncementNumber;
   A.Withdrawn = A.NotListening = A.ListenCheckPending = false;
   A.AnnouncedAt = A.UpstreamHeardAt = Now;
-  A.ReportDue = TimePoint{};
   return AnnouncementResult::Accepted;
 }
 
@@ -426,14 +444,10 @@
     return AnnouncementResult::Outdated;
   A.Upstream->State = UpstreamState::Unknown;
   A.Withdrawn = true;
-  A.ReportDue = TimePoint{};
   return AnnouncementResult::Accepted;
 }
 
-void stopAcceptingNewFlows(AgentFlows &A) {
-  A.Stopping = true;
-  A.ReportDue = TimePoint{};
-}
+void stopAcceptingNewFlows(AgentFlows &A) { A.Stopping = true; }
 
 bool acceptsNewFlows(const AgentFlows &A, std::uint32_t ServiceTag,
                      TimePoint Now) {
@@ -462,12 +476,11 @@
     if (const auto RequestId = decodeFlowListRequest(Decoded->Payload))
       return onListFlows(C, From, *RequestId);
     break;
-  case TunnelKind::Subscribe: {
-    const auto [It, New] = A.Subscribers.try_emplace(From);
-    It->second = Now + SubscriptionDuration;
-    if (New)
-      A.ReportDue = TimePoint{};
-    return;
+  case TunnelKind::Probe: {
+    LoadReport R = buildReport(A, Now);
+    R.Number = ++A.ReportNumber;
+    return sendToEntry(C, From, TunnelKind::Load, FlowPresence::No,
+                       encodeLoadReport(R));
   }
   default:
     break;
@@ -514,7 +527,6 @@
   if (!std::exchange(A.ListenCheckPending, false) || !Refused)
     return false;
   A.NotListening = true;
-  A.ReportDue = TimePoint{};
   return true;
 }
 
@@ -530,27 +542,9 @@
     A.CleanUpDue = Now + std::chrono::seconds(1);
     removeExpired(A, Now);
   }
-  if (Now < A.ReportDue || A.Subscribers.empty())
-    return;
-  A.ReportDue = Now + LoadReportInterval;
-  LoadReport R = buildReport(A, Now);
-  R.Number = ++A.ReportNumber;
-  const Bytes Payload = encodeLoadReport(R);
-  for (const auto &[Entry, Until] : A.Subscribers)
-    if (Now < Until)
-      sendToEntry(C, Entry, TunnelKind::Load, FlowPresence::No, Payload);
 }
 
-bool upstreamGone(const AgentFlows &A, TimePoint Now) {
-  if (A.NotListening)
-    return true;
-  if (!A.Upstream)
-    return Now - A.StartedAt >= FirstAnnouncementTimeout;
-  if (A.Withdrawn)
-    return true;
-  return Now - A.UpstreamHeardAt >= UpstreamSilenceTimeout &&
-         A.UnansweredSince && Now - *A.UnansweredSince >= UnansweredTimeout;
-}
+bool upstreamGone(const AgentFlows &A) { return A.NotListening || A.Withdrawn; }
 
 bool hasCapacity(const AgentFlows &A, TimePoint Now) {
   const std::uint64_t Expected =
@@ -596,12 +590,10 @@
   LoadReport R;
   R.RunId = A.Options.RunId;
   R.Number = A.ReportNumber;
-  R.DataCentre = A.Options.DataCentre;
-  R.HoldsNoFlows = upstreamGone(A, Now);
+  R.HoldsNoFlows = upstreamGone(A);
   if (A.Upstream) {
     const AnnouncedUpstream &U = *A.Upstream;
-    R.Service = U.Service;
-    R.UpstreamName = U.Name;
+    R.ServiceTag = serviceTag(U.Service);
     const bool CanServe = hasLease(A, Now) && !A.Stopping;
     R.State = CanServe ? U.State : UpstreamState::Unknown;
     R.Slots = U.Slots;
--- a/src/flow/agent_loop.cpp
+++ b/src/flow/agent_loop.cpp
@@ -50,6 +50,7 @@
   Text.counter("malformed_total", C.Malformed);
   Text.counter("announcements_total", C.Announcements);
   Text.counter("announcements_outdated_total", C.AnnouncementsOutdated);
+  Text.counter("sends_refused_total", C.SendsRefused);
   Text.gauge("active_flows", R.ActiveFlows);
   Text.gauge("outstanding", R.Outstanding);
   Text.gauge("upstream_state", static_cast<std::uint64_t>(R.State));
@@ -111,6 +112,7 @@
   Effects.clear();
   B.ToUpstream.flush(Outbound);
   B.FromTunnel.flush(Tunnel);
+  Flows.Counters.SendsRefused = B.ToUpstream.refused() + B.FromTunnel.refused();
 }
 
 void AgentLoop::finishListenCheck() {
@@ -141,7 +143,7 @@
     if (Now >= TickDue) {
       TickDue = Now + std::chrono::milliseconds(detail::TickIntervalMs);
       tick(Flows, Now, Effects);
-      Gone = flow::upstreamGone(Flows, Now);
+      Gone = flow::upstreamGone(Flows);
     }
     applyEffects();
   }
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -12,111 +12,14 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// Forwards an opening packet, with what the agent needs to prioritise it.
-void forwardOpening(EntryContext &C, const Endpoint &Agent, const Packet &P,
-                    absl::Span<const std::uint8_t> Raw, const Route &R,
-                    std::uint32_t ServiceTag) {
-  TunnelHeader Header{TunnelKind::Forward, FlowPresence::No, ServiceTag};
-  Header.Priority = static_cast<std::uint8_t>(std::clamp(R.Priority, 0, 0xFF));
-  Header.Age = P.OpeningAge;
-  Header.Objective = R.LatencyObjective;
-  C.Out.emplace_back(SendTunnel{Agent, encodeTunnel(Header, Raw)});
-}
-
-std::vector<Candidate> candidates(const EntryContext &C) {
-  std::vector<Candidate> All;
-  All.reserve(C.E.Agents.size());
-  for (const auto &[Agent, View] : C.E.Agents)
-    if (View.Report)
-      All.push_back({Agent, &*View.Report,
-                     duration_cast<milliseconds>(C.Now - View.ReportedAt),
-                     View.PlacedSinceReport});
-  return All;
-}
-
-/// \returns the agent for a new flow of route \p R and the service it is placed
-/// for. The weights select the service; the route's other services are used
-/// only if that one has no eligible upstream.
-std::optional<std::pair<Endpoint, std::string>>
-chooseUpstream(const EntryContext &C, const Route &R, const FlowKey &Flow,
-               const std::vector<Endpoint> &Excluded) {
-  const std::uint64_t Hash = hashFlow(Flow);
-  const std::vector<Candidate> All = candidates(C);
-  std::vector<const std::string *> Services = {selectService(R, Hash)};
-  for (const RouteTarget &T : R.Targets)
-    if (T.Weight > 0 && Services.front() && T.Service != *Services.front())
-      Services.push_back(&T.Service);
-  for (const std::string *Service : Services) {
-    if (!Service)
-      continue;
-    const auto Index = place(All, *Service, R.Kind, Hash, Excluded);
-    if (Index)
-      return std::pair(All[*Index].Agent, *Service);
-  }
-  return std::nullopt;
-}
-
-/// Sends an opening packet to the best upstream that hasn't declined it.
-/// Refuses the flow if there is none, or after MaxOffers attempts.
-void offerOpening(EntryContext &C, const Packet &P,
-                  absl::Span<const std::uint8_t> Raw, const Route &R,
-                  std::vector<Endpoint> Excluded) {
-  const auto Chosen = Excluded.size() >= MaxOffers
-                          ? std::nullopt
-                          : chooseUpstream(C, R, P.Flow, Excluded);
-  if (!Chosen) {
-    ++C.E.Counters.Refused;
-    recordDecision(C, "flow_refused", P.Flow,
-                   Excluded.empty() ? "no upstream is ready"
-                                    : "every upstream declined");
-    C.E.Flows.erase(P.Flow);
-    return sendReset(C, P.Flow, 0);
-  }
-  const auto &[Agent, Service] = *Chosen;
-  recordDecision(C, "flow_placed", P.Flow, Service, Agent);
-  ++C.E.Agents[Agent].PlacedSinceReport;
-  CachedFlow &F = C.E.Flows[P.Flow];
-  F = CachedFlow{Agent, C.Now, false, serviceTag(Service), std::move(Excluded)};
-  forwardOpening(C, Agent, P, Raw, R, F.ServiceTag);
-}
-
-/// \returns whether \p Agent has reported recently and its upstream isn't
-/// silent.
-bool isResponsive(const EntryContext &C, const Endpoint &Agent) {
-  const auto It = C.E.Agents.find(Agent);
-  return It != C.E.Agents.end() && It->second.Report &&
-         C.Now - It->second.ReportedAt < MaxReportAge / 2 &&
-         It->second.Report->Silent < SilenceThreshold;
-}
-
-void onOpening(EntryContext &C, const Packet &P,
-               absl::Span<const std::uint8_t> Raw, const Route &R) {
-  const auto It = C.E.Flows.find(P.Flow);
-  if (It == C.E.Flows.end()) {
-    if (C.E.Flows.size() >= MaxFlows)
-      return sendReset(C, P.Flow, 0);
-    ++C.E.Counters.Opened;
-    return offerOpening(C, P, Raw, R, {});
-  }
-  CachedFlow &F = It->second;
-  F.LastSeen = C.Now;
-  if (F.Established)
-    return forward(C, F.Agent, Raw);
-  ++C.E.Counters.OpenedAgain;
-  // Most retransmissions replace a lost packet, or the flow waits at its agent.
-  // Only a silent upstream is replaced by another one.
-  if (isResponsive(C, F.Agent))
-    return forwardOpening(C, F.Agent, P, Raw, R, F.ServiceTag);
-  std::vector<Endpoint> Excluded = F.Excluded;
-  Excluded.push_back(F.Agent);
-  offerOpening(C, P, Raw, R, std::move(Excluded));
-}
-
 void onEstablished(EntryContext &C, const Packet &P,
                    absl::Span<const std::uint8_t> Raw) {
   const auto Cached = C.E.Flows.find(P.Flow);
-  if (Cached != C.E.Flows.end() && holdsNoFlows(C, Cached->second.Agent))
+  // An agent that control hosts reported as gone can't answer any more. All
+  // others are asked: an agent that is silent may still hold the flow.
+  if (Cached != C.E.Flows.end() && !C.E.Agents.contains(Cached->second.Agent))
     C.E.Flows.erase(Cached);
+  C.E.PendingOpenings.erase(P.Flow);
   if (const auto It = C.E.Flows.find(P.Flow); It != C.E.Flows.end()) {
     It->second.LastSeen = C.Now;
     It->second.Established = true;
@@ -137,7 +40,7 @@
     return;
   }
   ++C.E.Counters.Returned;
-  Packet P = *Decoded;
+  const Packet &P = *Decoded;
   if (const auto It = C.E.Searches.find(P.Flow); It != C.E.Searches.end()) {
     Search &S = It->second;
     std::erase(S.NotAnswered, Agent);
@@ -152,45 +55,20 @@
   Excluded.push_back(Agent);
   const Route *R = C.E.Routes ? C.E.Routes->find(P.Flow.Service) : nullptr;
   if (P.Opens && R) {
-    P.OpeningAge += duration_cast<milliseconds>(C.Now - It->second.LastSeen);
     recordDecision(C, "offer_declined", P.Flow,
                    Reason == FlowPresence::NotReady ? "not ready" : "full",
                    Agent);
-    return offerOpening(C, P, Raw, *R, std::move(Excluded));
+    const TimePoint ArrivedAt = It->second.LastSeen;
+    return offerAgain(C, P.Flow, Raw, ArrivedAt, std::move(Excluded));
   }
   C.E.Flows.erase(It);
   if (!P.Opens)
     startSearch(C, P, Raw, {Agent});
 }
 
-void onLoad(EntryContext &C, const Endpoint &From,
-            absl::Span<const std::uint8_t> Payload) {
-  auto Report = decodeLoadReport(Payload.data(), Payload.size());
-  if (!Report) {
-    ++C.E.Counters.Malformed;
-    return;
-  }
-  AgentView &View = C.E.Agents[From];
-  if (View.Report && View.Report->RunId == Report->RunId &&
-      View.Report->Number >= Report->Number)
-    return;
-  if (View.FirstKnownAt == TimePoint{})
-    View.FirstKnownAt = C.Now;
-  View.Report = std::move(*Report);
-  View.ReportedAt = View.KnownAt = C.Now;
-  View.PlacedSinceReport = 0;
-}
-
-/// Sets CanPlace once routes and agent list are complete and every listed agent
-/// has reported or had time to. \returns CanPlace.
+/// Sets CanPlace once routes and agent list are complete. \returns CanPlace.
 bool updateCanPlace(EntryContext &C) {
-  if (C.E.CanPlace || !C.E.Routes || !C.E.AgentListComplete)
-    return C.E.CanPlace;
-  const auto Known = [&C](const auto &Item) {
-    return Item.second.Report ||
-           C.Now - Item.second.FirstKnownAt >= FirstReportTimeout;
-  };
-  C.E.CanPlace = std::all_of(C.E.Agents.begin(), C.E.Agents.end(), Known);
+  C.E.CanPlace = C.E.CanPlace || (C.E.Routes && C.E.AgentListComplete);
   return C.E.CanPlace;
 }
 
@@ -209,18 +87,23 @@
   absl::erase_if(C.E.Flows, [&](const auto &Item) {
     return C.Now - Item.second.LastSeen >= FlowExpiry;
   });
-  absl::erase_if(C.E.Agents, [&](const auto &Item) {
-    return C.Now - Item.second.KnownAt >= AgentExpiry;
-  });
+  std::vector<Endpoint> Unlisted;
+  for (const auto &[Agent, View] : C.E.Agents)
+    if (C.E.CompleteListAt - View.KnownAt >= AgentExpiry)
+      Unlisted.push_back(Agent);
+  for (const Endpoint &Agent : Unlisted)
+    removeAgent(C.E, Agent);
   for (auto &[Agent, View] : C.E.Agents)
     if (View.CompleteList &&
         C.Now - View.CompleteList->RequestedAt >= FlowListLifetime)
       View.CompleteList.reset();
 }
 
-/// Handles a caller's packet once flows can be placed.
+/// Handles a caller's packet, which arrived at \p ArrivedAt, once flows can be
+/// placed.
 void handleCallerPacket(EntryContext &C, const Packet &P,
-                        absl::Span<const std::uint8_t> Raw) {
+                        absl::Span<const std::uint8_t> Raw,
+                        TimePoint ArrivedAt) {
   const Route *R = C.E.Routes->find(P.Flow.Service);
   if (!R) {
     ++C.E.Counters.UnknownRoute;
@@ -232,7 +115,7 @@
     return;
   }
   if (P.Opens)
-    return onOpening(C, P, Raw, *R);
+    return onOpening(C, P, Raw, ArrivedAt);
   onEstablished(C, P, Raw);
 }
 
@@ -241,11 +124,10 @@
   if (!updateCanPlace(C) || C.E.Waiting.empty())
     return;
   for (const auto &[Flow, W] : std::exchange(C.E.Waiting, {})) {
-    auto P = C.E.Codec.Decode(W.Raw, Direction::FromCaller);
+    const auto P = C.E.Codec.Decode(W.Raw, Direction::FromCaller);
     if (!P || C.Now - W.ArrivedAt >= MaxWaitingTime)
       continue;
-    P->OpeningAge += duration_cast<milliseconds>(C.Now - W.ArrivedAt);
-    handleCallerPacket(C, *P, W.Raw);
+    handleCallerPacket(C, *P, W.Raw, W.ArrivedAt);
   }
 }
 
@@ -256,20 +138,26 @@
     E.Routes = std::move(Routes);
 }
 
-void addListedAgents(EntryFlows &E, const std::vector<Endpoint> &Listed,
-                     bool Complete, TimePoint Now, EntryEffects &Out) {
-  EntryContext C{E, Now, Out};
-  E.AgentListComplete = E.AgentListComplete || Complete;
-  for (const Endpoint &Agent : Listed) {
-    AgentView &View = E.Agents[Agent];
-    View.KnownAt = Now;
-    if (View.FirstKnownAt != TimePoint{})
-      continue;
-    View.FirstKnownAt = Now;
-    sendMessage(C, Agent, TunnelKind::Subscribe, {});
+void addListedAgents(EntryFlows &E, const std::vector<ListedAgent> &Listed,
+                     bool Complete, TimePoint Now) {
+  if (Complete) {
+    E.AgentListComplete = true;
+    E.CompleteListAt = Now;
+  }
+  for (const ListedAgent &Agent : Listed) {
+    E.Agents[Agent.Tunnel].KnownAt = Now;
+    setService(E, Agent.Tunnel, Agent.ServiceTag);
   }
 }
 
+void removeAgent(EntryFlows &E, const Endpoint &Agent) {
+  const auto It = E.Agents.find(Agent);
+  if (It == E.Agents.end())
+    return;
+  std::erase(E.AgentsByService[It->second.ServiceTag], Agent);
+  E.Agents.erase(It);
+}
+
 void onCallerPacket(EntryFlows &E, absl::Span<const std::uint8_t> Raw,
                     TimePoint Now, EntryEffects &Out) {
   EntryContext C{E, Now, Out};
@@ -282,7 +170,7 @@
   const Packet &P = *Decoded;
   if (!updateCanPlace(C))
     return holdUntilReady(C, P.Flow, Raw);
-  handleCallerPacket(C, P, Raw);
+  handleCallerPacket(C, P, Raw, Now);
 }
 
 void onTunnel(EntryFlows &E, const Endpoint &From,
@@ -322,12 +210,8 @@
 void tick(EntryFlows &E, TimePoint Now, EntryEffects &Out) {
   EntryContext C{E, Now, Out};
   handleWaiting(C);
+  tickOpenings(C);
   tickSearches(C);
-  if (Now >= E.SubscribeDue) {
-    E.SubscribeDue = Now + SubscribeInterval;
-    for (const auto &[Agent, View] : E.Agents)
-      sendMessage(C, Agent, TunnelKind::Subscribe, {});
-  }
   if (Now >= E.CleanUpDue) {
     E.CleanUpDue = Now + std::chrono::seconds(1);
     removeExpired(C);
--- a/src/flow/entry_loop.cpp
+++ b/src/flow/entry_loop.cpp
@@ -55,6 +55,10 @@
   Text.counter("searches_expired_total", C.SearchExpired);
   Text.counter("searches_overflow_total", C.SearchOverflow);
   Text.counter("packets_returned_total", C.Returned);
+  Text.counter("probes_total", C.Probes);
+  Text.counter("probes_unanswered_total", C.ProbesUnanswered);
+  Text.counter("sends_refused_total", C.SendsRefused);
+  Text.gauge("openings_pending", E.PendingOpenings.size());
   Text.gauge("flows", E.Flows.size());
   Text.gauge("agents", E.Agents.size());
   Text.gauge("routes_version", E.Routes ? E.Routes->table().Version : 0);
@@ -111,6 +115,7 @@
   Effects.clear();
   B.ToAgents.flush(Tunnel);
   B.ToCallers.flush(Callers);
+  Flows.Counters.SendsRefused = B.ToAgents.refused() + B.ToCallers.refused();
 }
 
 void EntryLoop::run() {
@@ -146,14 +151,15 @@
       [this, Routes = std::move(Routes)] { flow::setRoutes(Flows, Routes); });
 }
 
-void EntryLoop::addListedAgents(std::vector<Endpoint> Agents, bool Complete) {
+void EntryLoop::addListedAgents(std::vector<ListedAgent> Agents,
+                                bool Complete) {
   Mail.post([this, Agents = std::move(Agents), Complete] {
-    flow::addListedAgents(Flows, Agents, Complete, Time.now(), Effects);
+    flow::addListedAgents(Flows, Agents, Complete, Time.now());
   });
 }
 
 void EntryLoop::agentLeft(const Endpoint &Agent) {
-  Mail.post([this, Agent] { Flows.Agents.erase(Agent); });
+  Mail.post([this, Agent] { removeAgent(Flows, Agent); });
 }
 
 std::string EntryLoop::metrics() {
--- /dev/null
+++ b/src/flow/entry_openings.cpp
@@ -0,0 +1,321 @@
+#include "jasminearch/flow/detail/entry_steps.h"
+#include <algorithm>
+#include <utility>
+
+namespace jasminearch::flow::detail {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// \returns whether probes to the agent have been unanswered for too long.
+bool isUnresponsive(const EntryContext &C, const AgentView &View) {
+  return View.UnansweredSince && C.Now - *View.UnansweredSince >= ProbeTimeout;
+}
+
+bool hasFreshReport(const EntryContext &C, const AgentView &View) {
+  return View.Report && C.Now - View.ReportedAt <= MaxReportReuse;
+}
+
+/// \returns whether the decision on an opening must wait for the report of this
+/// agent.
+bool needsReport(const EntryContext &C, const AgentView &View) {
+  return !hasFreshReport(C, View) && !isUnresponsive(C, View);
+}
+
+/// Sends a probe unless one is on its way.
+void probe(EntryContext &C, const Endpoint &Agent, AgentView &View) {
+  const auto Interval =
+      isUnresponsive(C, View) ? ProbeRetryInterval : ProbeTimeout;
+  if (View.UnansweredSince && C.Now - View.ProbedAt < Interval)
+    return;
+  if (!View.UnansweredSince)
+    View.UnansweredSince = C.Now;
+  else
+    ++C.E.Counters.ProbesUnanswered;
+  View.ProbedAt = C.Now;
+  ++C.E.Counters.Probes;
+  sendMessage(C, Agent, TunnelKind::Probe, {});
+}
+
+/// \returns the services of route \p R in the order in which they are tried
+/// for a flow: the one that the weights select, then the others. An empty list
+/// if no service has a positive weight.
+std::vector<std::string> servicesInOrder(const Route &R, std::uint64_t Hash) {
+  const std::string *First = selectService(R, Hash);
+  if (!First)
+    return {};
+  std::vector<std::string> Services = {*First};
+  for (const RouteTarget &T : R.Targets)
+    if (T.Weight > 0 && T.Service != *First)
+      Services.push_back(T.Service);
+  return Services;
+}
+
+/// \returns the \p Count agents of a service that rank highest for \p Hash,
+/// without those in \p Excluded; the highest-ranked one comes first.
+std::vector<Endpoint> highestRanked(const EntryFlows &E,
+                                    std::uint32_t ServiceTag,
+                                    std::uint64_t Hash, std::size_t Count,
+                                    const std::vector<Endpoint> &Excluded) {
+  const auto It = E.AgentsByService.find(ServiceTag);
+  if (It == E.AgentsByService.end())
+    return {};
+  std::vector<std::pair<std::uint64_t, Endpoint>> Ranked;
+  Ranked.reserve(It->second.size());
+  for (const Endpoint &Agent : It->second)
+    if (!contains(Excluded, Agent))
+      Ranked.emplace_back(rendezvousRank(Agent, Hash), Agent);
+  const std::size_t Kept = std::min(Count, Ranked.size());
+  std::partial_sort(Ranked.begin(),
+                    Ranked.begin() + static_cast<std::ptrdiff_t>(Kept),
+                    Ranked.end(), std::greater<>());
+  std::vector<Endpoint> Highest;
+  for (std::size_t I = 0; I < Kept; ++I)
+    Highest.push_back(Ranked[I].second);
+  return Highest;
+}
+
+/// Probes those of \p Agents whose report is too old. \returns whether the
+/// opening has to wait for a report.
+bool awaitReports(EntryContext &C, const FlowKey &Flow, PendingOpening &O,
+                  const std::vector<Endpoint> &Agents) {
+  bool Waits = false;
+  for (const Endpoint &Agent : Agents) {
+    const auto It = C.E.Agents.find(Agent);
+    if (It == C.E.Agents.end() || hasFreshReport(C, It->second))
+      continue;
+    const bool Needed = needsReport(C, It->second);
+    if (!O.ProbedAt) {
+      probe(C, Agent, It->second);
+      if (Needed)
+        It->second.WaitingOpenings.push_back(Flow);
+    }
+    Waits = Waits || Needed;
+  }
+  if (!Waits)
+    return false;
+  if (!O.ProbedAt)
+    O.ProbedAt = C.Now;
+  return C.Now - *O.ProbedAt < ProbeTimeout;
+}
+
+/// Forwards an opening packet, with what the agent needs to prioritise it.
+void forwardOpening(EntryContext &C, const PendingOpening &O, const Packet &P,
+                    const Route &R, const Endpoint &Agent,
+                    std::uint32_t ServiceTag) {
+  TunnelHeader Header{TunnelKind::Forward, FlowPresence::No, ServiceTag};
+  Header.Priority = static_cast<std::uint8_t>(std::clamp(R.Priority, 0, 0xFF));
+  Header.Age = P.OpeningAge + duration_cast<milliseconds>(C.Now - O.ArrivedAt);
+  Header.Objective = R.LatencyObjective;
+  C.Out.emplace_back(SendTunnel{Agent, encodeTunnel(Header, O.Raw)});
+}
+
+void refuse(EntryContext &C, const FlowKey &Flow, const PendingOpening &O) {
+  ++C.E.Counters.Refused;
+  recordDecision(C, "flow_refused", Flow,
+                 O.Excluded.empty() ? "no upstream is ready"
+                                    : "every upstream declined");
+  C.E.PendingOpenings.erase(Flow);
+  C.E.Flows.erase(Flow);
+  sendReset(C, Flow, 0);
+}
+
+/// Sends the opening to \p Agent and caches the flow's location.
+void placeAt(EntryContext &C, const Packet &P, const Route &R,
+             const PendingOpening &O, const Endpoint &Agent,
+             const std::string &Service) {
+  recordDecision(C, "flow_placed", P.Flow, Service, Agent);
+  ++C.E.Agents[Agent].PlacedSinceReport;
+  const std::uint32_t Tag = serviceTag(Service);
+  C.E.Flows[P.Flow] = CachedFlow{Agent, O.ArrivedAt, false, Tag, O.Excluded};
+  forwardOpening(C, O, P, R, Agent, Tag);
+}
+
+std::vector<Candidate> candidates(const EntryContext &C,
+                                  const std::vector<Endpoint> &Agents) {
+  std::vector<Candidate> All;
+  for (const Endpoint &Agent : Agents) {
+    const auto It = C.E.Agents.find(Agent);
+    if (It != C.E.Agents.end() && hasFreshReport(C, It->second))
+      All.push_back({Agent, &*It->second.Report,
+                     duration_cast<milliseconds>(C.Now - It->second.ReportedAt),
+                     It->second.PlacedSinceReport});
+  }
+  return All;
+}
+
+enum class Progress : std::uint8_t { Waits, Placed, NotPlaced };
+
+/// Sends a copy of an opening to the agent that got the earlier copy. Most
+/// copies replace a lost packet, or the flow waits at its agent; only a silent
+/// upstream is replaced by another one.
+Progress offerToEarlier(EntryContext &C, const Packet &P, const Route &R,
+                        PendingOpening &O) {
+  const Endpoint Agent = *O.Earlier;
+  if (awaitReports(C, P.Flow, O, {Agent}))
+    return Progress::Waits;
+  O.ProbedAt.reset();
+  O.Earlier.reset();
+  const auto View = C.E.Agents.find(Agent);
+  const auto Cached = C.E.Flows.find(P.Flow);
+  const bool Answers = View != C.E.Agents.end() &&
+                       hasFreshReport(C, View->second) &&
+                       View->second.Report->Silent < SilenceThreshold;
+  if (!Answers || Cached == C.E.Flows.end()) {
+    O.Excluded.push_back(Agent);
+    return Progress::NotPlaced;
+  }
+  forwardOpening(C, O, P, R, Agent, Cached->second.ServiceTag);
+  return Progress::Placed;
+}
+
+/// Compares the reports of the highest-ranked agents of one service, more of
+/// them as long as none can take the flow.
+Progress offerToService(EntryContext &C, const Packet &P, const Route &R,
+                        PendingOpening &O, const std::string &Service) {
+  const std::uint64_t Hash = hashFlow(P.Flow);
+  const std::uint32_t Tag = serviceTag(Service);
+  std::size_t Compared = 0;
+  for (;;) {
+    const auto Agents = highestRanked(C.E, Tag, Hash, O.WaveSize, O.Excluded);
+    if (Agents.size() == Compared)
+      return Progress::NotPlaced;
+    Compared = Agents.size();
+    if (awaitReports(C, P.Flow, O, Agents))
+      return Progress::Waits;
+    O.ProbedAt.reset();
+    const auto All = candidates(C, Agents);
+    if (const auto Index = place(All, Tag, R.Kind, Hash, {})) {
+      placeAt(C, P, R, O, All[*Index].Agent, Service);
+      return Progress::Placed;
+    }
+    if (O.WaveSize >= MaxProbedPerOpening)
+      return Progress::NotPlaced;
+    O.WaveSize =
+        std::min(O.WaveSize * (1 + WaveGrowthFactor), MaxProbedPerOpening);
+  }
+}
+
+/// Continues with an opening as far as the known reports allow.
+void advanceOpening(EntryContext &C, const FlowKey &Flow) {
+  const auto It = C.E.PendingOpenings.find(Flow);
+  if (It == C.E.PendingOpenings.end())
+    return;
+  PendingOpening &O = It->second;
+  const auto P = C.E.Codec.Decode(O.Raw, Direction::FromCaller);
+  const Route *R = C.E.Routes->find(Flow.Service);
+  if (!P || !R)
+    return refuse(C, Flow, O);
+  if (O.Earlier) {
+    const Progress Result = offerToEarlier(C, *P, *R, O);
+    if (Result == Progress::Placed)
+      C.E.PendingOpenings.erase(Flow);
+    if (Result != Progress::NotPlaced)
+      return;
+  }
+  const auto Services = servicesInOrder(*R, hashFlow(Flow));
+  while (O.ServiceIndex < Services.size() && O.Excluded.size() < MaxOffers) {
+    switch (offerToService(C, *P, *R, O, Services[O.ServiceIndex])) {
+    case Progress::Waits:
+      return;
+    case Progress::Placed:
+      C.E.PendingOpenings.erase(Flow);
+      return;
+    case Progress::NotPlaced:
+      ++O.ServiceIndex;
+      O.WaveSize = CandidatesPerFlow;
+    }
+  }
+  refuse(C, Flow, O);
+}
+
+void startOpening(EntryContext &C, const FlowKey &Flow, PendingOpening O) {
+  if (C.E.PendingOpenings.size() >= MaxPendingOpenings)
+    return refuse(C, Flow, O);
+  C.E.PendingOpenings[Flow] = std::move(O);
+  advanceOpening(C, Flow);
+}
+
+} // namespace
+
+void setService(EntryFlows &E, const Endpoint &Agent,
+                std::uint32_t ServiceTag) {
+  AgentView &View = E.Agents[Agent];
+  if (ServiceTag == 0 || View.ServiceTag == ServiceTag)
+    return;
+  std::erase(E.AgentsByService[View.ServiceTag], Agent);
+  View.ServiceTag = ServiceTag;
+  E.AgentsByService[ServiceTag].push_back(Agent);
+}
+
+void onOpening(EntryContext &C, const Packet &P,
+               absl::Span<const std::uint8_t> Raw, TimePoint ArrivedAt) {
+  // A copy adds nothing while the first one waits for reports.
+  if (C.E.PendingOpenings.contains(P.Flow))
+    return;
+  PendingOpening O;
+  O.Raw.assign(Raw.begin(), Raw.end());
+  O.ArrivedAt = ArrivedAt;
+  const auto It = C.E.Flows.find(P.Flow);
+  if (It == C.E.Flows.end()) {
+    if (C.E.Flows.size() >= MaxFlows)
+      return sendReset(C, P.Flow, 0);
+    ++C.E.Counters.Opened;
+    return startOpening(C, P.Flow, std::move(O));
+  }
+  CachedFlow &F = It->second;
+  F.LastSeen = C.Now;
+  if (F.Established)
+    return forward(C, F.Agent, Raw);
+  ++C.E.Counters.OpenedAgain;
+  O.Earlier = F.Agent;
+  O.Excluded = F.Excluded;
+  startOpening(C, P.Flow, std::move(O));
+}
+
+void offerAgain(EntryContext &C, const FlowKey &Flow,
+                absl::Span<const std::uint8_t> Raw, TimePoint ArrivedAt,
+                std::vector<Endpoint> Excluded) {
+  PendingOpening O;
+  O.Raw.assign(Raw.begin(), Raw.end());
+  O.ArrivedAt = ArrivedAt;
+  O.Excluded = std::move(Excluded);
+  startOpening(C, Flow, std::move(O));
+}
+
+void onLoad(EntryContext &C, const Endpoint &From,
+            absl::Span<const std::uint8_t> Payload) {
+  auto Report = decodeLoadReport(Payload.data(), Payload.size());
+  if (!Report) {
+    ++C.E.Counters.Malformed;
+    return;
+  }
+  const auto It = C.E.Agents.find(From);
+  // A late report must not bring back an agent that has left.
+  if (It == C.E.Agents.end())
+    return;
+  setService(C.E, From, Report->ServiceTag);
+  AgentView &View = It->second;
+  if (View.Report && View.Report->RunId == Report->RunId &&
+      View.Report->Number >= Report->Number)
+    return;
+  View.Report = std::move(*Report);
+  View.ReportedAt = View.KnownAt = C.Now;
+  View.PlacedSinceReport = 0;
+  View.UnansweredSince.reset();
+  for (const FlowKey &Flow : std::exchange(View.WaitingOpenings, {}))
+    advanceOpening(C, Flow);
+}
+
+void tickOpenings(EntryContext &C) {
+  std::vector<FlowKey> Due;
+  for (const auto &[Flow, O] : C.E.PendingOpenings)
+    if (O.ProbedAt && C.Now - *O.ProbedAt >= ProbeTimeout)
+      Due.push_back(Flow);
+  for (const FlowKey &Flow : Due)
+    advanceOpening(C, Flow);
+}
+
+} // namespace jasminearch::flow::detail
--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -66,10 +66,11 @@
     advanceSearch(C, Flow);
 }
 
-bool hasTarget(const Route &R, const std::string &Service) {
-  return std::any_of(
-      R.Targets.begin(), R.Targets.end(),
-      [&Service](const RouteTarget &T) { return T.Service == Service; });
+bool hasTarget(const Route &R, std::uint32_t ServiceTag) {
+  return std::any_of(R.Targets.begin(), R.Targets.end(),
+                     [ServiceTag](const RouteTarget &T) {
+                       return serviceTag(T.Service) == ServiceTag;
+                     });
 }
 
 /// \returns the agents to query for a flow, in ascending order of likelihood:
@@ -82,11 +83,10 @@
   const std::uint64_t Hash = hashFlow(Flow);
   std::vector<std::tuple<bool, std::uint64_t, Endpoint>> Ranked;
   for (const auto &[Agent, View] : C.E.Agents) {
-    if (contains(Excluded, Agent) || holdsNoFlows(C, Agent))
+    if (contains(Excluded, Agent) || holdsNoFlows(C, Agent, C.Now))
       continue;
-    const bool OtherService = R && View.Report &&
-                              !View.Report->Service.empty() &&
-                              !hasTarget(*R, View.Report->Service);
+    const bool OtherService =
+        R && View.ServiceTag != 0 && !hasTarget(*R, View.ServiceTag);
     Ranked.emplace_back(!OtherService, rendezvousRank(Agent, Hash), Agent);
   }
   std::sort(Ranked.begin(), Ranked.end());
@@ -139,12 +139,14 @@
 
 /// \returns whether the full flow list of \p Agent takes fewer bytes than
 /// \p QueryCount queries with their answers, which take about twice the bytes
-/// of a list entry each.
+/// of a list entry each. The number of flows is taken from the last report; of
+/// an agent that has not reported, the list is requested.
 bool isListSmaller(const EntryFlows &E, const Endpoint &Agent,
                    std::size_t QueryCount) {
   const auto It = E.Agents.find(Agent);
   return QueryCount >= MinSearchesForFlowList && It != E.Agents.end() &&
-         It->second.Report && It->second.Report->ActiveFlows < 2 * QueryCount;
+         (!It->second.Report ||
+          It->second.Report->ActiveFlows < 2 * QueryCount);
 }
 
 /// Requests a flow list unless one has been requested recently; for searches
@@ -259,8 +261,9 @@
     // the agent may know that the upstream is gone.
     if (S.NotAnswered.empty())
       S.NotAnswered = std::exchange(S.Tried, {});
-    std::erase_if(S.NotAnswered,
-                  [&C](const auto &A) { return holdsNoFlows(C, A); });
+    std::erase_if(S.NotAnswered, [&C, &S = S](const auto &A) {
+      return holdsNoFlows(C, A, S.StartedAt);
+    });
     queueQueries(C, Flow, S);
     if (S.NotAnswered.empty())
       Answered.push_back(Flow);
--- a/src/flow/entry_steps.cpp
+++ b/src/flow/entry_steps.cpp
@@ -55,18 +55,13 @@
       SendTunnel{Agent, encodeTunnel({Kind, FlowPresence::No, 0}, Payload)});
 }
 
-bool holdsNoFlows(const EntryContext &C, const Endpoint &Agent) {
+bool holdsNoFlows(const EntryContext &C, const Endpoint &Agent,
+                  TimePoint Since) {
   const auto It = C.E.Agents.find(Agent);
   if (It == C.E.Agents.end())
     return true;
   const AgentView &View = It->second;
-  if (!View.Report)
-    return C.Now - View.FirstKnownAt > IdleAgentSilenceTimeout;
-  if (View.Report->HoldsNoFlows)
-    return true;
-  const bool HadUpstream = View.Report->State != UpstreamState::Unknown;
-  return C.Now - View.ReportedAt >
-         (HadUpstream ? AgentSilenceTimeout : IdleAgentSilenceTimeout);
+  return View.Report && View.Report->HoldsNoFlows && View.ReportedAt >= Since;
 }
 
 } // namespace jasminearch::flow::detail
--- a/src/flow/load_report.cpp
+++ b/src/flow/load_report.cpp
@@ -6,28 +6,25 @@
 using nlohmann::json;
 
 Bytes encodeLoadReport(const LoadReport &R) {
-  return json::to_cbor(
-      json::array({R.RunId, R.Number, R.Service, R.UpstreamName, R.DataCentre,
-                   static_cast<unsigned>(R.State), R.Slots,
-                   R.ColdRemaining.count(), R.ActiveFlows, R.Outstanding,
-                   R.Silent.count(), R.ResponseTime.count(), R.HoldsNoFlows}));
+  return json::to_cbor(json::array(
+      {R.RunId, R.Number, R.ServiceTag, static_cast<unsigned>(R.State), R.Slots,
+       R.ColdRemaining.count(), R.ActiveFlows, R.Outstanding, R.Silent.count(),
+       R.ResponseTime.count(), R.HoldsNoFlows}));
 }
 
 Expected<LoadReport> decodeLoadReport(const std::uint8_t *Data,
                                       std::size_t Size) {
-  constexpr std::size_t Fields = 13;
+  constexpr std::size_t Fields = 11;
   try {
     const json J = json::from_cbor(Data, Data + Size);
     if (!J.is_array() || J.size() != Fields)
       return fail(ErrorCode::MessageMalformed,
-                  "load report: expected an array of 13 fields");
+                  "load report: expected an array of 11 fields");
     LoadReport R;
     std::size_t I = 0;
     R.RunId = J.at(I++).get<std::uint64_t>();
     R.Number = J.at(I++).get<std::uint64_t>();
-    R.Service = J.at(I++).get<std::string>();
-    R.UpstreamName = J.at(I++).get<std::string>();
-    R.DataCentre = J.at(I++).get<std::string>();
+    R.ServiceTag = J.at(I++).get<std::uint32_t>();
     const auto State = J.at(I++).get<unsigned>();
     if (State > static_cast<unsigned>(UpstreamState::Draining))
       return fail(ErrorCode::MessageMalformed,
--- a/src/flow/placement.cpp
+++ b/src/flow/placement.cpp
@@ -14,7 +14,7 @@
 }
 
 bool isSilent(const Candidate &C) {
-  return C.Report->Silent >= SilenceThreshold || C.Age >= MaxReportAge / 2;
+  return C.Report->Silent >= SilenceThreshold;
 }
 
 double capacity(const Candidate &C) {
@@ -24,9 +24,9 @@
 
 } // namespace
 
-bool isEligible(const Candidate &C, const std::string &Service) {
+bool isEligible(const Candidate &C, std::uint32_t ServiceTag) {
   return C.Report->State == UpstreamState::Ready &&
-         C.Report->Service == Service && C.Age < MaxReportAge;
+         C.Report->ServiceTag == ServiceTag;
 }
 
 double expectedLoad(const Candidate &C, RequestKind Kind) {
@@ -46,7 +46,7 @@
 }
 
 std::optional<std::size_t> place(absl::Span<const Candidate> Candidates,
-                                 const std::string &Service, RequestKind Kind,
+                                 std::uint32_t ServiceTag, RequestKind Kind,
                                  std::uint64_t Hash,
                                  absl::Span<const Endpoint> Excluded) {
   // Silent candidates come last, so that they are used only if there are no
@@ -54,7 +54,7 @@
   std::vector<std::tuple<bool, std::uint64_t, std::size_t>> Ranked;
   for (std::size_t I = 0; I < Candidates.size(); ++I) {
     const Candidate &C = Candidates[I];
-    if (isEligible(C, Service) && !contains(Excluded, C.Agent))
+    if (isEligible(C, ServiceTag) && !contains(Excluded, C.Agent))
       Ranked.emplace_back(!isSilent(C), rendezvousRank(C.Agent, Hash), I);
   }
   std::sort(Ranked.rbegin(), Ranked.rend());
--- a/src/net/datagram_batch.cpp
+++ b/src/net/datagram_batch.cpp
@@ -66,6 +66,7 @@
     Processed += SentNow > 0 ? static_cast<std::size_t>(SentNow) : 1;
     Sent += static_cast<std::size_t>(std::max(SentNow, 0));
   }
+  Refused += Count - Sent;
   Count = 0;
   return Sent;
 }
