List only agents with an upstream, store departures at once, bound probes

The searches waited for agents that had left one second before the loss of power: the control hosts had stored their lists up to 2 s earlier and loaded them again. With departures stored at once (a trial), the same happened with hosts whose upstream had been taken away before: they came back with the power, their agents linked up without an upstream, and ended without a goodbye. At the same time 2,500 openings were refused with "no upstream is ready": each opening probed up to 84 agents, so that the answers came too late on links of 2.1 Mbit/s, and silence was read as "not ready".

Change: - Departures and new agents are stored within 250 ms. Agents that are only known from the store are removed after 5 s with a quorum; entry hosts are told at once. A control host without a quorum removes nobody. - An agent is listed only while its upstream may hold flows. It checks whether a process listens before it links up, and when it stops. - At most 20 agents are probed for an opening, reports that an upstream is not ready are reused for 400 ms, and an opening whose candidates are silent goes to the highest-ranked one instead of being refused. - The end of a search no longer resets a new flow that uses the same caller's address and port.

--- a/include/jasminearch/fleet/control_node.h
+++ b/include/jasminearch/fleet/control_node.h
@@ -23,10 +23,21 @@
 /// Maximum time between two calls of tick().
 inline constexpr std::chrono::milliseconds ControlTickInterval{20};
 
-/// An agent that no control host has heard from is removed after this time.
-/// Longer than an agent needs to find another control host.
+/// An agent that no control host has heard from is removed after this time, in
+/// which this host must have had a quorum throughout. Longer than an agent
+/// needs to find another control host.
 inline constexpr std::chrono::milliseconds AgentRecordLifetime{10'000};
 
+/// The same for an agent that is only known from the store: it may have left
+/// while this host was down, and until it is removed, entry hosts wait for its
+/// answer before they give up a flow.
+inline constexpr std::chrono::milliseconds StoredAgentLifetime{5000};
+
+/// Time between two checks for changes of the agent directory to be stored. An
+/// agent that leaves within this time before a loss of power is loaded again
+/// afterwards.
+inline constexpr std::chrono::milliseconds AgentStoreInterval{250};
+
 /// Time between two complete lists of agents on one link to an entry host.
 /// Changes are sent at once; the list only repairs what an entry host missed,
 /// and its size grows with the fleet.
@@ -209,6 +220,8 @@
                    std::uint32_t ServiceTag);
   void removeAgent(const Endpoint &Tunnel);
   void broadcast(const Message &Value);
+  void sendToEntryHosts(const Bytes &Encoded);
+  void removeSilentAgents(TimePoint Now);
   void loadAgents();
   void saveAgents();
 
@@ -263,6 +276,9 @@
   std::vector<PendingSubmission> PendingSubmissions;
   std::vector<PendingRead> PendingReads;
   TimePoint GossipDue{};
+  TimePoint AgentStoreDue{};
+  /// Since when this host has had a recent quorum without interruption.
+  std::optional<TimePoint> QuorumSince;
 };
 
 } // namespace jasminearch::fleet
--- a/include/jasminearch/fleet/fleet_client.h
+++ b/include/jasminearch/fleet/fleet_client.h
@@ -64,8 +64,9 @@
   /// because entry hosts place flows only on agents of a known service.
   void setServiceTag(std::uint32_t Tag);
 
-  /// Tells the control host that this agent leaves for good.
-  void leave();
+  /// Sets whether control hosts list this agent. An agent that isn't listed, as
+  /// its upstream holds no flows, says so once and keeps no link.
+  void setListed(bool Listed);
 
   /// \returns whether the routes and the agent list have been received since
   /// this process started, from a control host with a recent quorum.
@@ -103,7 +104,7 @@
   std::uint32_t ServiceTag = 0;
   bool AgentListComplete = false;
   bool QuorumSeen = false;
-  bool Leaving = false;
+  bool Listed = true;
 };
 
 } // namespace jasminearch::fleet
--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -43,6 +43,10 @@
 /// takes.
 inline constexpr std::chrono::milliseconds ListenCheckDelay{300};
 
+/// An agent that has just started counts its upstream as running if no listen
+/// check has had a result within this time.
+inline constexpr std::chrono::milliseconds FirstListenCheckTimeout{500};
+
 /// Minimum time between two listen checks.
 inline constexpr std::chrono::milliseconds ListenCheckInterval{200};
 
@@ -175,6 +179,8 @@
   /// A listen check is running, and the upstream has shown no sign of life
   /// since it began.
   bool ListenCheckPending = false;
+  /// A check found that a process listens at the upstream's address.
+  bool FoundListening = false;
   TimePoint ListenCheckDue{};
   /// The agent is about to stop and accepts no new flows.
   bool Stopping = false;
@@ -269,6 +275,11 @@
 /// that is slow, or whose announcements are late, still holds its flows.
 bool upstreamGone(const AgentFlows &A);
 
+/// \returns whether control hosts must list this agent, so that entry hosts ask
+/// it for flows: not while its upstream is known to hold none, nor before the
+/// first listen check of this run has a result.
+bool mustBeListed(const AgentFlows &A, TimePoint Now);
+
 /// \returns whether the upstream can take another flow immediately.
 bool hasCapacity(const AgentFlows &A, TimePoint Now);
 
--- a/include/jasminearch/flow/agent_loop.h
+++ b/include/jasminearch/flow/agent_loop.h
@@ -44,8 +44,8 @@
   /// Stops accepting new flows.
   void stopAcceptingNewFlows();
 
-  /// \returns whether the upstream is known to hold no flows.
-  bool upstreamGone() const { return Gone; }
+  /// \returns mustBeListed() as of the last tick.
+  bool listed() const { return Listed; }
 
   /// Passes an announcement to the traffic thread, which calls \p Done with the
   /// result.
@@ -71,7 +71,7 @@
   AgentEffects Effects;
   Mailbox Mail;
   std::atomic<bool> Stopping{false};
-  std::atomic<bool> Gone{false};
+  std::atomic<bool> Listed{false};
 };
 
 } // namespace jasminearch::flow
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -31,6 +31,10 @@
 /// depend on the flows it opens and not on the number of agents.
 inline constexpr std::chrono::milliseconds MaxReportReuse{150};
 
+/// The same for reports that the upstream is not ready. Longer, because after a
+/// loss of power each opening meets many of them.
+inline constexpr std::chrono::milliseconds MaxNotReadyReportReuse{400};
+
 /// Time that an opening waits for the answers to its probes. Longer than a
 /// round trip between data centres and the scheduling delay of a busy agent. An
 /// agent that takes longer gets no new flows until it answers.
@@ -41,8 +45,10 @@
 
 /// Number of agents whose reports are compared for an opening: first
 /// CandidatesPerFlow; if none of these can take the flow, the next
-/// highest-ranked ones, in waves that grow by WaveGrowthFactor up to this sum.
-inline constexpr std::size_t MaxProbedPerOpening = 84;
+/// highest-ranked ones up to this sum. With 84, probes and answers of callers
+/// that return after a loss of power take more than half of a link of
+/// 2.1 Mbit/s.
+inline constexpr std::size_t MaxProbedPerOpening = 20;
 
 /// Maximum number of openings that wait for answers to probes.
 inline constexpr std::size_t MaxPendingOpenings = 4096;
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -352,14 +352,45 @@
   if (!Hub)
     return;
   const Bytes Encoded = encode(Value);
-  for (const auto &[Id, L] : IncomingLinks)
-    if (L.HelloReceived && L.From.Sender == Role::Entry)
-      Hub->send(Id, Encoded);
+  sendToEntryHosts(Encoded);
   for (const auto &[Host, P] : Peers)
     if (P.Open)
       Hub->send(*P.Link, Encoded);
 }
 
+void ControlNode::sendToEntryHosts(const Bytes &Encoded) {
+  for (const auto &[Id, L] : IncomingLinks)
+    if (L.HelloReceived && L.From.Sender == Role::Entry)
+      Hub->send(Id, Encoded);
+}
+
+/// Removes agents that no control host has heard from for too long. Other
+/// control hosts decide for themselves, as they may have heard later.
+void ControlNode::removeSilentAgents(TimePoint Now) {
+  if (!hasRecentQuorum()) {
+    QuorumSince.reset();
+    return;
+  }
+  if (!QuorumSince)
+    QuorumSince = Now;
+  std::erase_if(AgentDirectory, [&](const auto &Item) {
+    const auto &[Tunnel, Agent] = Item;
+    const milliseconds Lifetime =
+        Agent.Confirmed ? AgentRecordLifetime : StoredAgentLifetime;
+    if (Now - std::max(Agent.HeardAt, *QuorumSince) < Lifetime)
+      return false;
+    logEvent(LogLevel::Warning, "agent_silent",
+             {{"agent", toString(Tunnel)},
+              {"silent_ms",
+               std::int64_t{
+                   duration_cast<milliseconds>(Now - Agent.HeardAt).count()}},
+              {"stored", !Agent.Confirmed}});
+    AgentDirectoryChanged = true;
+    sendToEntryHosts(encode(AgentDeparted{Tunnel}));
+    return true;
+  });
+}
+
 void ControlNode::removeAgent(const Endpoint &Tunnel) {
   DepartedAgents[Tunnel] = Time.now();
   if (AgentDirectory.erase(Tunnel) == 0)
@@ -479,18 +510,18 @@
 }
 
 void ControlNode::tickAgentDirectory(TimePoint Now) {
+  if (Now >= AgentStoreDue) {
+    AgentStoreDue = Now + AgentStoreInterval;
+    removeSilentAgents(Now);
+    saveAgents();
+  }
   if (Now < GossipDue)
     return;
   constexpr milliseconds GossipInterval{2000};
   GossipDue = Now + GossipInterval;
-  AgentDirectoryChanged |=
-      std::erase_if(AgentDirectory, [Now](const auto &Item) {
-        return Now - Item.second.HeardAt >= AgentRecordLifetime;
-      }) != 0;
   std::erase_if(DepartedAgents, [Now](const auto &Item) {
     return Now - Item.second >= AgentRecordLifetime;
   });
-  saveAgents();
   const Bytes All = encode(confirmedAgents(Now));
   const Bytes Hosts = encode(ControlHosts{knownHosts()});
   for (const auto &[Id, L] : IncomingLinks)
--- a/src/fleet/fleet_client.cpp
+++ b/src/fleet/fleet_client.cpp
@@ -120,10 +120,14 @@
   }
 }
 
-void FleetClient::leave() {
+void FleetClient::setListed(bool NewListed) {
+  if (std::exchange(Listed, NewListed) == NewListed)
+    return;
+  if (Listed || !Link)
+    return;
   if (Open)
     Hub->send(*Link, encode(AgentDeparted{Options.Tunnel}));
-  Leaving = true;
+  disconnect("upstream is gone");
 }
 
 void FleetClient::connectToNextHost(TimePoint Now) {
@@ -136,11 +140,9 @@
 }
 
 void FleetClient::tick() {
-  if (Leaving)
-    return;
   const TimePoint Now = Time.now();
   if (!Link) {
-    if (Now >= ConnectDue)
+    if (Listed && Now >= ConnectDue)
       connectToNextHost(Now);
     return;
   }
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -372,13 +372,15 @@
 }
 
 /// Starts a listen check if the upstream hasn't announced itself in this run,
-/// has let its lease expire, or leaves packets unanswered.
+/// has let its lease expire, or leaves packets unanswered, and when the agent
+/// stops, so that it can tell whether its upstream ended before it.
 void checkListening(Context &C) {
   AgentFlows &A = C.A;
   const bool Unanswered =
       A.UnansweredSince && C.Now - *A.UnansweredSince >= ListenCheckDelay;
   if (!A.Options.ListensWhileRunning || A.NotListening || A.Withdrawn ||
-      (hasLease(A, C.Now) && !Unanswered) || C.Now < A.ListenCheckDue)
+      (hasLease(A, C.Now) && !Unanswered && !A.Stopping) ||
+      C.Now < A.ListenCheckDue)
     return;
   A.ListenCheckDue = C.Now + ListenCheckInterval;
   A.ListenCheckPending = true;
@@ -524,7 +526,10 @@
 }
 
 bool onListenCheckDone(AgentFlows &A, bool Refused) {
-  if (!std::exchange(A.ListenCheckPending, false) || !Refused)
+  if (!std::exchange(A.ListenCheckPending, false))
+    return false;
+  A.FoundListening = !Refused;
+  if (!Refused)
     return false;
   A.NotListening = true;
   return true;
@@ -546,6 +551,14 @@
 
 bool upstreamGone(const AgentFlows &A) { return A.NotListening || A.Withdrawn; }
 
+bool mustBeListed(const AgentFlows &A, TimePoint Now) {
+  if (upstreamGone(A))
+    return false;
+  return A.Upstream || A.FoundListening || !A.Flows.empty() ||
+         !A.Options.ListensWhileRunning ||
+         Now - A.StartedAt >= FirstListenCheckTimeout;
+}
+
 bool hasCapacity(const AgentFlows &A, TimePoint Now) {
   const std::uint64_t Expected =
       std::count_if(A.RecentOpenings.begin(), A.RecentOpenings.end(),
--- a/src/flow/agent_loop.cpp
+++ b/src/flow/agent_loop.cpp
@@ -143,7 +143,7 @@
     if (Now >= TickDue) {
       TickDue = Now + std::chrono::milliseconds(detail::TickIntervalMs);
       tick(Flows, Now, Effects);
-      Gone = flow::upstreamGone(Flows);
+      Listed = mustBeListed(Flows, Now);
     }
     applyEffects();
   }
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -15,7 +15,12 @@
 }
 
 bool hasFreshReport(const EntryContext &C, const AgentView &View) {
-  return View.Report && C.Now - View.ReportedAt <= MaxReportReuse;
+  if (!View.Report)
+    return false;
+  const auto Reuse = View.Report->State == UpstreamState::Ready
+                         ? MaxReportReuse
+                         : MaxNotReadyReportReuse;
+  return C.Now - View.ReportedAt <= Reuse;
 }
 
 /// \returns whether the decision on an opening must wait for the report of this
@@ -146,6 +151,17 @@
   return All;
 }
 
+/// \returns the first of \p Agents that hasn't reported recently.
+std::optional<Endpoint>
+firstWithoutReport(const EntryContext &C, const std::vector<Endpoint> &Agents) {
+  for (const Endpoint &Agent : Agents) {
+    const auto It = C.E.Agents.find(Agent);
+    if (It != C.E.Agents.end() && !hasFreshReport(C, It->second))
+      return Agent;
+  }
+  return std::nullopt;
+}
+
 enum class Progress : std::uint8_t { Waits, Placed, NotPlaced };
 
 /// Sends a copy of an opening to the agent that got the earlier copy. Most
@@ -177,12 +193,10 @@
                         PendingOpening &O, const std::string &Service) {
   const std::uint64_t Hash = hashFlow(P.Flow);
   const std::uint32_t Tag = serviceTag(Service);
-  std::size_t Compared = 0;
   for (;;) {
     const auto Agents = highestRanked(C.E, Tag, Hash, O.WaveSize, O.Excluded);
-    if (Agents.size() == Compared)
+    if (Agents.empty())
       return Progress::NotPlaced;
-    Compared = Agents.size();
     if (awaitReports(C, P.Flow, O, Agents))
       return Progress::Waits;
     O.ProbedAt.reset();
@@ -191,10 +205,17 @@
       placeAt(C, P, R, O, All[*Index].Agent, Service);
       return Progress::Placed;
     }
-    if (O.WaveSize >= MaxProbedPerOpening)
+    if (O.WaveSize < MaxProbedPerOpening) {
+      O.WaveSize = MaxProbedPerOpening;
+      continue;
+    }
+    // Silence doesn't tell that an agent can't serve the flow: its answer may
+    // be late. The agent itself decides.
+    const auto Silent = firstWithoutReport(C, Agents);
+    if (!Silent)
       return Progress::NotPlaced;
-    O.WaveSize =
-        std::min(O.WaveSize * (1 + WaveGrowthFactor), MaxProbedPerOpening);
+    placeAt(C, P, R, O, *Silent, Service);
+    return Progress::Placed;
   }
 }
 
@@ -252,6 +273,9 @@
 
 void onOpening(EntryContext &C, const Packet &P,
                absl::Span<const std::uint8_t> Raw, TimePoint ArrivedAt) {
+  // The caller has reused the address of an earlier flow. The end of that
+  // flow's search must not reset the new flow.
+  C.E.Searches.erase(P.Flow);
   // A copy adds nothing while the first one waits for reports.
   if (C.E.PendingOpenings.contains(P.Flow))
     return;
--- a/tests/fleet_control_test.cpp
+++ b/tests/fleet_control_test.cpp
@@ -34,6 +34,10 @@
   CPPUNIT_TEST(keepsAgentsOverARestart);
   CPPUNIT_TEST(listsServicesOfAgents);
   CPPUNIT_TEST(restartDoesNotBringBackAnAgentThatLeft);
+  CPPUNIT_TEST(listsAnAgentAgainOnceItsUpstreamRuns);
+  CPPUNIT_TEST(storesADepartureBeforeALossOfPower);
+  CPPUNIT_TEST(reportsStoredAgentsThatDoNotReturn);
+  CPPUNIT_TEST(removesNoAgentsWithoutAQuorum);
   CPPUNIT_TEST(newHostSendsNoCompleteListBeforeItHasOne);
   CPPUNIT_TEST(listsGrowWithChangesNotWithTime);
   CPPUNIT_TEST(survivesMalformedMessages);
@@ -324,7 +328,7 @@
     Daemon &Agent = W->startDaemon("10.0.2.1", Role::Agent);
     W->run(1s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.Agents.size());
-    Agent.Client->leave();
+    Agent.Client->setListed(false);
     W->run(5s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.DepartedAgents.size());
     for (const std::string &Host : ThreeHosts)
@@ -374,7 +378,7 @@
     const std::string Down = follower();
     W->kill(Down);
     W->run(1s);
-    Agent.Client->leave();
+    Agent.Client->setListed(false);
     W->run(1s);
     W->kill("10.0.2.1");
     Daemon &Entry = W->startDaemon("10.0.1.1", Role::Entry);
@@ -389,6 +393,81 @@
     CPPUNIT_ASSERT_EQUAL(Entry.Agents.size(), Entry.DepartedAgents.size());
   }
 
+  /// Guards against searches that wait for agents without an upstream, and
+  /// against agents that stay unknown once their upstream runs again.
+  void listsAnAgentAgainOnceItsUpstreamRuns() {
+    begin();
+    Daemon &Entry = W->startDaemon("10.0.1.1", Role::Entry);
+    Daemon &Agent = W->startDaemon("10.0.2.1", Role::Agent);
+    Agent.Client->setListed(false);
+    W->run(5s);
+    CPPUNIT_ASSERT(Entry.Agents.empty());
+    for (int I = 0; I < 2; ++I) {
+      Agent.Client->setListed(true);
+      W->run(200ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, W->leader()->agents());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.Agents.size());
+      Agent.Client->setListed(false);
+      W->run(200ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, W->leader()->agents());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.DepartedAgents.size());
+      W->run(5s);
+    }
+  }
+
+  /// Guards against searches that wait for an agent that has left: it left one
+  /// second before all hosts lost power, and the stored lists still had it.
+  void storesADepartureBeforeALossOfPower() {
+    begin();
+    Daemon &Agent = W->startDaemon("10.0.2.1", Role::Agent);
+    W->run(4s);
+    Agent.Client->setListed(false);
+    W->run(1s);
+    for (const std::string &Host : ThreeHosts)
+      W->kill(Host);
+    W->kill("10.0.2.1");
+    for (const std::string &Host : ThreeHosts)
+      W->startControl(Host, false);
+    for (const std::string &Host : ThreeHosts)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, W->Controls.at(Host).Node->agents());
+  }
+
+  /// Guards against searches that wait 20 s for hosts that did not come back
+  /// after a loss of power.
+  void reportsStoredAgentsThatDoNotReturn() {
+    begin();
+    W->startDaemon("10.0.2.1", Role::Agent);
+    W->startDaemon("10.0.2.2", Role::Agent);
+    W->run(4s);
+    for (const std::string &Host : ThreeHosts)
+      W->kill(Host);
+    W->kill("10.0.2.1");
+    for (const std::string &Host : ThreeHosts)
+      W->startControl(Host, false);
+    Daemon &Entry = W->startDaemon("10.0.1.1", Role::Entry);
+    W->run(StoredAgentLifetime - 500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Entry.Agents.size());
+    CPPUNIT_ASSERT(Entry.DepartedAgents.empty());
+    W->run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.DepartedAgents.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, W->leader()->agents());
+  }
+
+  /// Guards against giving up the flows of live agents: a control host that is
+  /// cut off hears from no agent.
+  void removesNoAgentsWithoutAQuorum() {
+    begin();
+    W->startDaemon("10.0.2.1", Role::Agent);
+    W->run(2s);
+    const std::string CutOff = follower();
+    W->CutOffHosts.insert(CutOff);
+    W->run(3 * AgentRecordLifetime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, W->Controls.at(CutOff).Node->agents());
+    W->CutOffHosts.clear();
+    W->run(AgentRecordLifetime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, W->Controls.at(CutOff).Node->agents());
+  }
+
   /// Guards against entry hosts that reset live flows because a control host
   /// with an empty disk sent its partial list of agents as a complete one.
   void newHostSendsNoCompleteListBeforeItHasOne() {
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(knowsAllFlowsOfAnUpstreamThatItSawStart);
   CPPUNIT_TEST(notifiesTheEntryHostOnceTheUpstreamAnswers);
   CPPUNIT_TEST(keepsFlowsOfASilentUpstream);
+  CPPUNIT_TEST(isListedOnlyWithAnUpstream);
+  CPPUNIT_TEST(checksTheUpstreamWhenItStops);
   CPPUNIT_TEST(neverDeniesFlowsOfAnUpstreamThatIsLate);
   CPPUNIT_TEST(keepsAFlowWhoseOpeningCopyIsReturned);
   CPPUNIT_TEST(keepsFlowsOpenedBeforeTheFirstAnnouncement);
@@ -298,6 +300,48 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent(TunnelKind::Returned).size());
   }
 
+  /// Guards against searches that wait for agents whose upstream never started,
+  /// and against live flows that are not found because their agent isn't
+  /// listed.
+  void isListedOnlyWithAnUpstream() {
+    begin();
+    A.Upstream.reset();
+    CPPUNIT_ASSERT(!mustBeListed(A, Now));
+    tick(A, Now, Out);
+    onListenCheckDone(A, true);
+    Now += 10s;
+    CPPUNIT_ASSERT(!mustBeListed(A, Now));
+    announce(A, announced(), Now);
+    CPPUNIT_ASSERT(mustBeListed(A, Now));
+    Now += 10s;
+    CPPUNIT_ASSERT(mustBeListed(A, Now));
+    withdraw(A, "i-1");
+    CPPUNIT_ASSERT(!mustBeListed(A, Now));
+    // After a restart of the agent the upstream runs but has not been heard.
+    begin();
+    A.Upstream.reset();
+    tick(A, Now, Out);
+    onListenCheckDone(A, false);
+    CPPUNIT_ASSERT(mustBeListed(A, Now));
+    begin();
+    A.Upstream.reset();
+    CPPUNIT_ASSERT(mustBeListed(A, Now + FirstListenCheckTimeout));
+  }
+
+  /// Guards against an agent that ends without saying that its upstream ended
+  /// before it: searches would wait for it.
+  void checksTheUpstreamWhenItStops() {
+    begin();
+    tick(A, Now, Out);
+    CPPUNIT_ASSERT(effectsOfType<StartListenCheck>(Out).empty());
+    stopAcceptingNewFlows(A);
+    tick(A, Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         effectsOfType<StartListenCheck>(Out).size());
+    onListenCheckDone(A, true);
+    CPPUNIT_ASSERT(!mustBeListed(A, Now));
+  }
+
   /// Guards against reading late announcements as the absence of an upstream:
   /// an agent that has restarted may not hear its upstream for seconds.
   void neverDeniesFlowsOfAnUpstreamThatIsLate() {
--- a/tests/flow_entry_test.cpp
+++ b/tests/flow_entry_test.cpp
@@ -36,6 +36,9 @@
   CPPUNIT_TEST(probesOnlyTheCandidatesOfAnOpening);
   CPPUNIT_TEST(renewsReportsThatAreTooOld);
   CPPUNIT_TEST(comparesMoreUpstreamsIfTheFirstCannotServe);
+  CPPUNIT_TEST(offersToASilentAgentInsteadOfRefusing);
+  CPPUNIT_TEST(boundsTheProbesOfReturningCallers);
+  CPPUNIT_TEST(endOfASearchDoesNotResetANewFlow);
   CPPUNIT_TEST(ignoresReportsOfAnAgentThatHasLeft);
   CPPUNIT_TEST(keepsAgentsWithoutControlHosts);
   CPPUNIT_TEST(placesOneFlowForCopiesThatWaited);
@@ -648,6 +651,71 @@
     }
   }
 
+  /// Guards against refusing callers because the answers of agents that could
+  /// serve them are late, and against refusing them without a reason at all:
+  /// the opening goes to an agent, and its copy to another one.
+  void offersToASilentAgentInsteadOfRefusing() {
+    begin(3);
+    Now += 1s;
+    packet(opening(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, probes().size());
+    for (int I = 0; I < 4; ++I) {
+      Now += 40ms;
+      tick(E, Now, Out);
+    }
+    CPPUNIT_ASSERT(!wasReset());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    const Endpoint First = forwards(Out).at(0).To;
+    Now += 40ms;
+    packet(opening(1, 1));
+    CPPUNIT_ASSERT(!wasReset());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    CPPUNIT_ASSERT(forwards(Out).at(0).To != First);
+  }
+
+  /// Load: 200 callers return to one entry host within a second after a loss of
+  /// power, while the upstreams of 204 agents aren't ready yet. Probes and
+  /// answers take less than a quarter of a link of 2.1 Mbit/s.
+  void boundsTheProbesOfReturningCallers() {
+    constexpr std::size_t UdpOverheadBytes = 28;
+    begin(204);
+    Now += 1s;
+    LoadReport NotReady = readyReport("orders");
+    NotReady.State = UpstreamState::Unknown;
+    std::size_t Bytes = 0;
+    for (std::uint16_t Port = 1; Port <= 200; ++Port) {
+      Now += 5ms;
+      Out.clear();
+      onCallerPacket(E, encode(opening(Port)), Now, Out);
+      tick(E, Now, Out);
+      for (auto Sent = probes(); !Sent.empty(); Sent = probes()) {
+        Out.clear();
+        for (const SentTunnel &Probe : Sent) {
+          Bytes += TunnelHeaderBytes + UdpOverheadBytes;
+          Bytes += loadFrom(NotReady).size() + UdpOverheadBytes;
+          load(Probe.To.Address - agentAt(0).Address, NotReady);
+        }
+      }
+    }
+    CPPUNIT_ASSERT(Bytes <= 2'100'000 / 8 / 4);
+  }
+
+  /// Guards against a reset that is late: its caller has given up the flow that
+  /// was searched for and uses the same address and port for a new one.
+  void endOfASearchDoesNotResetANewFlow() {
+    begin(2);
+    packet(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queries().size());
+    packet(opening(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    for (const std::uint32_t Agent : {1U, 2U}) {
+      answer(Agent, 1, FlowPresence::No);
+      CPPUNIT_ASSERT(!wasReset());
+    }
+    packet(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+  }
+
   /// Guards against an agent that has left and is added again by a report that
   /// was late.
   void ignoresReportsOfAnAgentThatHasLeft() {
