--- a/src/flow/agent_loop.cpp
+++ b/src/flow/agent_loop.cpp
@@ -61,14 +61,14 @@
 } // namespace
 
 AgentLoop::AgentLoop(AgentLoopOptions InitialOptions, const Clock &Time)
-    : Options(std::move(InitialOptions)), Time(Time) {
+    : Options(InitialOptions), Time(Time) {
   Flows.Options = Options.Agent;
   Flows.StartedAt = Time.now();
 }
 
 Expected<std::unique_ptr<AgentLoop>> AgentLoop::open(AgentLoopOptions Options,
                                                      const Clock &Time) {
-  std::unique_ptr<AgentLoop> Loop(new AgentLoop(std::move(Options), Time));
+  std::unique_ptr<AgentLoop> Loop(new AgentLoop(Options, Time));
   auto Tunnel = net::bindUdp(Loop->Options.Tunnel, {});
   if (!Tunnel)
     return tl::unexpected(Tunnel.error());
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
-using std::chrono::milliseconds;
-
 void onEstablished(EntryContext &C, const Packet &P,
                    absl::Span<const std::uint8_t> Raw) {
   const auto Cached = C.E.Flows.find(P.Flow);
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -325,7 +325,7 @@
   if (View.Report && View.Report->RunId == Report->RunId &&
       View.Report->Number >= Report->Number)
     return;
-  View.Report = std::move(*Report);
+  View.Report = *Report;
   View.ReportedAt = View.KnownAt = C.Now;
   View.PlacedSinceReport = 0;
   View.UnansweredSince.reset();
