--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -11,7 +11,7 @@
 using namespace review;
 
 constexpr unsigned BackendCount = 4;
-constexpr unsigned Rounds = 14;
+constexpr unsigned Rounds = 18;
 constexpr milliseconds ContactTime{4000};
 constexpr const char *OrdersAddress = "198.18.0.1";
 
