review: route addresses of the scripts are loopback addresses too

Claim: every address in a case has to be a loopback address. The addresses of routes were not, though nothing is sent to them.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -13,7 +13,7 @@
 constexpr unsigned BackendCount = 4;
 constexpr unsigned Rounds = 18;
 constexpr milliseconds ContactTime{4000};
-constexpr const char *OrdersAddress = "198.18.0.1";
+constexpr const char *OrdersAddress = "127.18.0.1";
 
 struct Scene {
   World &W;
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -11,7 +11,7 @@
 
 constexpr milliseconds DrainBound{3000};
 constexpr milliseconds ClockStep{2000};
-constexpr const char *OrdersAddress = "198.18.0.1";
+constexpr const char *OrdersAddress = "127.18.0.1";
 
 Verdict run(Record &Log) {
   World W(Log, freePrefix());
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -11,9 +11,9 @@
 
 constexpr milliseconds RollbackSlack{250};
 constexpr milliseconds DownTime{300};
-constexpr const char *MovedAddress = "198.18.0.1";
-constexpr const char *OrdersAddress = "198.18.0.2";
-constexpr const char *CatalogueAddress = "198.18.0.3";
+constexpr const char *MovedAddress = "127.18.0.1";
+constexpr const char *OrdersAddress = "127.18.0.2";
+constexpr const char *CatalogueAddress = "127.18.0.3";
 
 std::string configuration(std::uint64_t Version, const std::string &Target) {
   return configurationBody(Version,
