--- a/include/jasminearch/fleet/control_node.h
+++ b/include/jasminearch/fleet/control_node.h
@@ -4,6 +4,7 @@
 #include "jasminearch/clock.h"
 #include "jasminearch/consensus/replicated_log.h"
 #include "jasminearch/error.h"
+#include "jasminearch/fleet/agent_directory.h"
 #include "jasminearch/fleet/link_timing.h"
 #include "jasminearch/fleet/messages.h"
 #include "jasminearch/link/link.h"
@@ -23,9 +24,10 @@
 /// Maximum time between two calls of tick().
 inline constexpr std::chrono::milliseconds ControlTickInterval{20};
 
-/// An agent that no control host has heard from is removed after this time, in
-/// which this host must have had a quorum throughout. Longer than an agent
-/// needs to find another control host.
+/// An agent counts as departed once the control host that it is linked to has
+/// not heard from it for this time, or is itself not heard of for this time. In
+/// this time the host that decides must have had a quorum throughout. Longer
+/// than an agent needs to find another control host.
 inline constexpr std::chrono::milliseconds AgentRecordLifetime{10'000};
 
 /// The same for an agent that is only known from the store: it may have left
@@ -52,6 +54,12 @@
 /// this time.
 inline constexpr std::chrono::milliseconds ControlHostLifetime{20'000};
 
+/// Time between two digests of the agent directory to each control host.
+inline constexpr std::chrono::milliseconds DigestInterval{2000};
+
+/// The beat of a control host that hasn't increased for this time is forgotten.
+inline constexpr std::chrono::milliseconds HostBeatLifetime{60'000};
+
 /// Longest time that a submission or read waits for a leader or a commit.
 /// Clients wait for one second.
 inline constexpr std::chrono::milliseconds SubmitTimeout{800};
@@ -115,6 +123,18 @@
   auto operator<=>(const NoRoutes &) const = default;
 };
 
+/// Counts of messages about agents, since the start of a control host.
+struct DirectoryCounters {
+  /// Messages to and from other control hosts.
+  std::uint64_t Sent = 0;
+  std::uint64_t Received = 0;
+  /// Records that changed the directory.
+  std::uint64_t Changes = 0;
+  /// Records that were superseded by the one held.
+  std::uint64_t Superseded = 0;
+  auto operator<=>(const DirectoryCounters &) const = default;
+};
+
 using SubmitResult = std::variant<Accepted, RedirectToLeader, Unavailable>;
 using ReadResult =
     std::variant<CurrentRoutes, NoRoutes, RedirectToLeader, Unavailable>;
@@ -168,7 +188,8 @@
   /// \returns the voting members as of the last committed membership change.
   std::vector<std::string> voters() const;
   /// \returns the number of known agents.
-  std::size_t agents() const { return AgentDirectory.size(); }
+  std::size_t agents() const { return presentAgents(Directory); }
+  const DirectoryCounters &directoryCounters() const { return Counters; }
   /// \returns the number of links that other hosts opened.
   std::size_t subscribers() const { return IncomingLinks.size(); }
 
@@ -191,6 +212,8 @@
     TimePoint RoutesDue{};
     TimePoint AgentListDue{};
     std::uint64_t SentVersion = 0;
+    /// From an agent: its last statement on this link.
+    std::optional<AgentRecord> Statement;
   };
   struct PendingSubmission {
     AcceptedRoutes Value;
@@ -212,18 +235,48 @@
   void opened(link::LinkId Id, bool IsIncoming);
   void received(link::LinkId Id, const Bytes &Encoded);
   void closed(link::LinkId Id);
+  void forgetIncomingLink(link::LinkId Id);
   void handleMessage(link::LinkId Id, IncomingLink &L, const Message &Value);
   void handleHello(link::LinkId Id, IncomingLink &L, const Hello &Value);
   void addControlHost(const std::string &Host);
-  /// \p ServiceTag is zero if the source doesn't know the service.
-  void recordAgent(const Endpoint &Tunnel, TimePoint HeardAt,
-                   std::uint32_t ServiceTag);
-  void removeAgent(const Endpoint &Tunnel);
-  void broadcast(const Message &Value);
+
+  // control_agents.cpp
+  void handleAgentStatement(link::LinkId Id, IncomingLink &L,
+                            const Agents &Value);
+  /// Repeats the merge of the agent's last statement on a sign of life.
+  void confirmStatement(link::LinkId Id, const IncomingLink &L);
+  /// Handles a message from the control host at the other end of \p Id if it is
+  /// about agents.
+  void handleDirectoryMessage(link::LinkId Id, const Message &Value);
+  void handleRecords(link::LinkId Id, const Agents &Value);
+  void handleDigest(link::LinkId Id, const DirectoryDigest &Value);
+  void handleBuckets(link::LinkId Id, const DirectoryBuckets &Value);
+  /// Who made a record known to this host.
+  enum class RecordSource : std::uint8_t {
+    /// An agent that is linked here, or this host itself.
+    ThisHost,
+    ControlHost,
+  };
+  /// Stores a record. If it changes what is listed, tells the entry hosts, and
+  /// the other control hosts if they don't know it from elsewhere: if everyone
+  /// passed it on, the messages for one change would grow with the square of
+  /// the number of control hosts. Other changes spread with the digests.
+  MergeResult mergeRecord(const AgentRecord &Record, RecordSource Source);
+  void publish(const AgentRecord &Record);
+  void sendDirectoryMessage(link::LinkId Id, const Message &Value);
   void sendToEntryHosts(const Bytes &Encoded);
+  DirectoryDigest digest(const std::string &Receiver, TimePoint Now) const;
+  void sendDigests(TimePoint Now);
+  void recordBeats(const std::vector<HostBeat> &Beats, TimePoint Now);
+  TimePoint lastHeard(const DirectoryEntry &Entry) const;
   void removeSilentAgents(TimePoint Now);
   void loadAgents();
   void saveAgents();
+  bool directoryComplete() const;
+  /// \returns all records, departures too, for entry hosts and the store.
+  Agents allAgents() const;
+  void sendAgentList(link::LinkId Id, IncomingLink &L, TimePoint Now);
+  void sendAgentLists(TimePoint Now);
 
   void tickPeers(TimePoint Now);
   void connectToPeer(const std::string &Host, Peer &P, TimePoint Now);
@@ -236,10 +289,6 @@
   void send(link::LinkId Id, const Message &Value);
   Status status() const;
   std::vector<std::string> knownHosts() const;
-  Agents allAgents(TimePoint Now) const;
-  Agents confirmedAgents(TimePoint Now) const;
-  void sendAgentList(link::LinkId Id, IncomingLink &L, TimePoint Now);
-  void sendAgentLists(TimePoint Now);
   bool hasRecentQuorum() const;
 
   ControlNodeOptions Options;
@@ -253,29 +302,29 @@
   std::map<std::string, Peer> Peers;
   std::map<link::LinkId, std::string> PeerByLink;
   std::map<link::LinkId, IncomingLink> IncomingLinks;
-  struct KnownAgent {
-    /// When a control host last heard from the agent.
-    TimePoint HeardAt{};
-    std::uint32_t ServiceTag = 0;
-    /// Some control host has heard from the agent since this host started.
-    /// Stored records aren't passed on, because the agent may have left while
-    /// this host was down.
-    bool Confirmed = true;
+  AgentDirectory Directory;
+  DirectoryCounters Counters;
+  /// The newest link of each agent that is linked to this host.
+  std::map<Endpoint, link::LinkId> AgentLinks;
+  struct KnownBeat {
+    std::uint64_t Count = 0;
+    TimePoint KnownAt{};
+    /// When Count was last seen to increase; empty before that.
+    std::optional<TimePoint> IncreasedAt;
   };
-  std::map<Endpoint, KnownAgent> AgentDirectory;
+  std::map<std::string, KnownBeat> Beats;
+  std::uint64_t OwnBeat = 0;
   TimePoint StartedAt{};
   /// The directory was loaded or received whole since the start.
-  bool AgentDirectoryReceived = false;
-  /// When agents left, so that older reports of them don't add them again.
-  std::map<Endpoint, TimePoint> DepartedAgents;
+  bool DirectoryReceived = false;
   AgentStore Store;
-  bool AgentDirectoryChanged = false;
+  bool DirectoryChanged = false;
   /// The configuration in force, decoded and as the entry of the log.
   std::optional<AcceptedRoutes> Current;
   Bytes CurrentEntry;
   std::vector<PendingSubmission> PendingSubmissions;
   std::vector<PendingRead> PendingReads;
-  TimePoint GossipDue{};
+  TimePoint DigestDue{};
   TimePoint AgentStoreDue{};
   /// Since when this host has had a recent quorum without interruption.
   std::optional<TimePoint> QuorumSince;
--- a/include/jasminearch/fleet/fleet_client.h
+++ b/include/jasminearch/fleet/fleet_client.h
@@ -2,6 +2,7 @@
 #define JASMINEARCH_FLEET_FLEET_CLIENT_H
 
 #include "jasminearch/clock.h"
+#include "jasminearch/fleet/agent_directory.h"
 #include "jasminearch/fleet/link_timing.h"
 #include "jasminearch/fleet/messages.h"
 #include "jasminearch/link/link.h"
@@ -32,16 +33,18 @@
   /// Selects the first control host to try, so that daemons spread over all of
   /// them.
   std::uint64_t Seed = 0;
+  /// Identifies this run of an agent among all runs at its address.
+  std::uint64_t RunId = 0;
 };
 
 /// Handlers, called on the hub's thread. Any of them may be empty.
 struct FleetClientHandlers {
   /// Called with the routes when a newer version arrives.
   std::function<void(std::shared_ptr<const flow::RouteIndex>)> RoutesChanged;
-  /// Called with agents that a control host knows; Agents::Complete tells
-  /// whether the list contains all of them.
+  /// Called with agents that a control host lists, without departures;
+  /// Agents::Complete tells whether the list contains all of them.
   std::function<void(const Agents &)> AgentListReceived;
-  /// Called when an agent has left for good, after its upstream.
+  /// Called when a listed agent has left, after its upstream.
   std::function<void(const Endpoint &)> AgentLeft;
 };
 
@@ -65,7 +68,8 @@
   void setServiceTag(std::uint32_t Tag);
 
   /// Sets whether control hosts list this agent. An agent that isn't listed, as
-  /// its upstream holds no flows, says so once and keeps no link.
+  /// its upstream holds no flows, says so until a control host acknowledges it,
+  /// and then keeps no link.
   void setListed(bool Listed);
 
   /// \returns whether the routes and the agent list have been received since
@@ -83,6 +87,13 @@
   void connectToNextHost(TimePoint Now);
   void sendStatus(TimePoint Now);
   void updateHosts(const std::vector<std::string> &Hosts);
+  void handleAgents(const Agents &Received, TimePoint Now);
+  /// Makes the agent's next record and sends it if a link is open.
+  void makeStatement();
+  /// Handles a record about this agent that a control host holds. A record that
+  /// supersedes the agent's last statement is superseded by a new one; the same
+  /// record acknowledges a departure.
+  void compareWithOwn(const AgentRecord &Record);
 
   FleetClientOptions Options;
   const Clock &Time;
@@ -101,7 +112,14 @@
   /// When the control host last reported a recent quorum.
   TimePoint QuorumAt{};
   std::shared_ptr<const flow::RouteIndex> Routes;
-  std::uint32_t ServiceTag = 0;
+  /// An agent's last statement about itself; its number is zero before the
+  /// first one.
+  AgentRecord Own;
+  /// An agent has left, and no control host has acknowledged it.
+  bool DeparturePending = false;
+  /// At an entry host: the records received from control hosts, so that a
+  /// control host with older news changes nothing.
+  AgentDirectory Directory;
   bool AgentListComplete = false;
   bool QuorumSeen = false;
   bool Listed = true;
--- a/include/jasminearch/fleet/messages.h
+++ b/include/jasminearch/fleet/messages.h
@@ -4,8 +4,10 @@
 #include "jasminearch/error.h"
 #include "jasminearch/flow/routes.h"
 #include "jasminearch/types.h"
+#include <array>
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -34,9 +36,6 @@
   /// From a control host: time since a quorum last confirmed the leader.
   std::chrono::milliseconds QuorumAge{0};
   std::uint64_t RoutesVersion = 0;
-  /// From an agent: flow::serviceTag() of its upstream's service; zero before
-  /// the upstream's first announcement.
-  std::uint32_t ServiceTag = 0;
   auto operator<=>(const Status &) const = default;
 };
 
@@ -47,29 +46,71 @@
   auto operator<=>(const ControlHosts &) const = default;
 };
 
-/// An agent, and the time since a control host last heard from it.
+/// An agent's statement about itself. Only the agent makes new ones; the one
+/// exception is the departure of an agent that has been silent for too long,
+/// which a control host declares under the number of the agent's last record.
+/// Records of one agent are ordered by incarnation, run, number and departure,
+/// so that all hosts keep the same one in whatever order they receive them.
 struct AgentRecord {
+  /// Where the agent receives tunnel datagrams; identifies the agent.
   Endpoint Tunnel;
-  std::chrono::milliseconds Age{0};
-  /// Tag of the service of the agent's upstream; zero if unknown.
+  /// An agent that learns of a record that supersedes its own, from an earlier
+  /// process at its address, continues with a higher incarnation.
+  std::uint64_t Incarnation = 0;
+  /// Identifies the agent's process.
+  std::uint64_t RunId = 0;
+  /// Counts the records of this process; a new link to a control host begins
+  /// with a new one.
+  std::uint64_t Number = 0;
+  /// The agent has left: its upstream is gone and holds no flows.
+  bool Departed = false;
+  /// flow::serviceTag() of its upstream's service; zero before the upstream's
+  /// first announcement.
   std::uint32_t ServiceTag = 0;
+  /// The control host that the agent made the record to, and that watches the
+  /// agent's link.
+  std::string ControlHost;
   auto operator<=>(const AgentRecord &) const = default;
 };
 
-/// All agents that the sender knows, or only new and changed ones.
+/// Number of parts in which directories of agents are compared: one bit each in
+/// the masks of Agents.
+inline constexpr std::size_t DirectoryBucketCount = 64;
+
+/// Records of agents: all that the sender holds, or only new and changed ones.
 struct Agents {
-  std::vector<AgentRecord> Known;
-  /// Whether Known contains all agents of the fleet, as far as the sender can
-  /// tell.
+  std::vector<AgentRecord> Records;
+  /// To an entry host: Records contains all agents of the fleet, as far as the
+  /// sender can tell. To a control host: the sender's directory is complete.
   bool Complete = false;
+  /// Between control hosts: buckets of which Records contains everything that
+  /// the sender holds. The receiver answers with what it holds beyond that.
+  std::uint64_t Buckets = 0;
   auto operator<=>(const Agents &) const = default;
 };
 
-/// Sent by an agent: its upstream is gone and the agent ends. Passed on between
-/// control hosts and to entry hosts: the agent has left.
-struct AgentDeparted {
-  Endpoint Tunnel;
-  auto operator<=>(const AgentDeparted &) const = default;
+/// A count that a control host increases while it runs. Control hosts pass on
+/// the highest count that they know of each other, so that they learn through
+/// others that a host runs which they can't reach.
+struct HostBeat {
+  std::string Host;
+  std::uint64_t Count = 0;
+  auto operator<=>(const HostBeat &) const = default;
+};
+
+/// Sent periodically between control hosts, to find out whether their
+/// directories of agents differ.
+struct DirectoryDigest {
+  std::uint64_t Hash = 0;
+  bool Complete = false;
+  std::vector<HostBeat> Beats;
+  auto operator<=>(const DirectoryDigest &) const = default;
+};
+
+/// Answer to a digest with a different hash: the hash of each bucket.
+struct DirectoryBuckets {
+  std::array<std::uint64_t, DirectoryBucketCount> Hashes{};
+  auto operator<=>(const DirectoryBuckets &) const = default;
 };
 
 /// A message of the replicated log.
@@ -84,8 +125,10 @@
   bool operator==(const Routes &) const = default;
 };
 
+/// The index of a type is its number in encoded messages. Routes messages are
+/// stored in the log, so that their number must not change.
 using Message = std::variant<Hello, Status, ControlHosts, Agents, Consensus,
-                             Routes, AgentDeparted>;
+                             Routes, DirectoryDigest, DirectoryBuckets>;
 
 /// Encodes \p Value as a CBOR array of the message's type number and its
 /// fields.
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -200,12 +200,12 @@
   P.HeardAt = P.KnownAt = Now;
   P.StatusDue = Now + StatusInterval;
   send(Id, Hello{Role::Control, Options.Host, {}, version()});
-  send(Id, confirmedAgents(Now));
+  sendDirectoryMessage(Id, digest(Host->second, Now));
   logEvent(LogLevel::Info, "control_host_linked", {{"peer", Host->second}});
 }
 
 void ControlNode::closed(link::LinkId Id) {
-  IncomingLinks.erase(Id);
+  forgetIncomingLink(Id);
   const auto Host = PeerByLink.find(Id);
   if (Host == PeerByLink.end())
     return;
@@ -220,6 +220,16 @@
   PeerByLink.erase(Host);
 }
 
+void ControlNode::forgetIncomingLink(link::LinkId Id) {
+  const auto It = IncomingLinks.find(Id);
+  if (It == IncomingLinks.end())
+    return;
+  const auto Agent = AgentLinks.find(It->second.From.Tunnel);
+  if (Agent != AgentLinks.end() && Agent->second == Id)
+    AgentLinks.erase(Agent);
+  IncomingLinks.erase(It);
+}
+
 void ControlNode::received(link::LinkId Id, const Bytes &Encoded) {
   const TimePoint Now = Time.now();
   auto Decoded = decode(Encoded);
@@ -233,6 +243,7 @@
     if (const auto *Known = std::get_if<ControlHosts>(&*Decoded))
       for (const std::string &Other : Known->Hosts)
         addControlHost(Other);
+    handleDirectoryMessage(Id, *Decoded);
     return;
   }
   const auto It = IncomingLinks.find(Id);
@@ -250,7 +261,7 @@
   if (Value.Sender == Role::Control)
     addControlHost(Value.Host);
   if (Value.Sender == Role::Agent)
-    recordAgent(Value.Tunnel, Time.now(), 0);
+    AgentLinks[Value.Tunnel] = Id;
   send(Id, ControlHosts{knownHosts()});
   if (Value.Sender == Role::Entry)
     sendAgentList(Id, L, Time.now());
@@ -258,177 +269,22 @@
 
 void ControlNode::handleMessage(link::LinkId Id, IncomingLink &L,
                                 const Message &Value) {
-  const TimePoint Now = Time.now();
-  if (const auto *M = std::get_if<Hello>(&Value))
-    return handleHello(Id, L, *M);
-  if (!L.HelloReceived)
+  const auto *First = std::get_if<Hello>(&Value);
+  if ((First != nullptr) == L.HelloReceived)
     return Hub->close(Id);
+  if (First)
+    return handleHello(Id, L, *First);
   if (const auto *M = std::get_if<Consensus>(&Value)) {
     if (Log && L.From.Sender == Role::Control)
       Log->receive(L.From.Host, M->Body);
-  } else if (const auto *M = std::get_if<Agents>(&Value)) {
-    for (const AgentRecord &R : M->Known)
-      recordAgent(R.Tunnel, Now - R.Age, R.ServiceTag);
-    if (M->Complete && !AgentDirectoryReceived) {
-      AgentDirectoryReceived = true;
-      sendAgentLists(Now);
-    }
-  } else if (const auto *M = std::get_if<AgentDeparted>(&Value)) {
-    removeAgent(M->Tunnel);
-  } else if (const auto *M = std::get_if<Status>(&Value);
-             M && L.From.Sender == Role::Agent) {
-    recordAgent(L.From.Tunnel, Now, M->ServiceTag);
-  }
-}
-
-// Agents ----------------------------------------------------------------------
-
-Agents ControlNode::allAgents(TimePoint Now) const {
-  Agents All;
-  All.Complete =
-      AgentDirectoryReceived || Now - StartedAt >= AgentListGracePeriod;
-  for (const auto &[Tunnel, Agent] : AgentDirectory)
-    All.Known.push_back({Tunnel,
-                         duration_cast<milliseconds>(Now - Agent.HeardAt),
-                         Agent.ServiceTag});
-  return All;
-}
-
-Agents ControlNode::confirmedAgents(TimePoint Now) const {
-  Agents Confirmed = allAgents(Now);
-  std::erase_if(Confirmed.Known, [this](const AgentRecord &R) {
-    return !AgentDirectory.at(R.Tunnel).Confirmed;
-  });
-  return Confirmed;
-}
-
-void ControlNode::sendAgentList(link::LinkId Id, IncomingLink &L,
-                                TimePoint Now) {
-  const Agents All = allAgents(Now);
-  // An incomplete list is followed by a complete one after the grace period.
-  L.AgentListDue = Now + (All.Complete ? AgentListInterval
-                                       : milliseconds(AgentListGracePeriod));
-  send(Id, All);
-}
-
-void ControlNode::sendAgentLists(TimePoint Now) {
-  for (auto &[Id, L] : IncomingLinks)
-    if (L.HelloReceived && L.From.Sender == Role::Entry)
-      sendAgentList(Id, L, Now);
-}
-
-void ControlNode::recordAgent(const Endpoint &Tunnel, TimePoint HeardAt,
-                              std::uint32_t ServiceTag) {
-  const TimePoint Now = Time.now();
-  const auto Departure = DepartedAgents.find(Tunnel);
-  const bool Stale =
-      Departure != DepartedAgents.end() && HeardAt <= Departure->second;
-  if (Stale || Now - HeardAt >= AgentRecordLifetime)
-    return;
-  const auto [It, New] = AgentDirectory.try_emplace(Tunnel);
-  KnownAgent &Agent = It->second;
-  // Only newer information changes the service: the address may have been
-  // assigned to another upstream since.
-  const bool ServiceChanged = ServiceTag != 0 &&
-                              ServiceTag != Agent.ServiceTag &&
-                              HeardAt >= Agent.HeardAt;
-  if (ServiceChanged)
-    Agent.ServiceTag = ServiceTag;
-  Agent.HeardAt = std::max(Agent.HeardAt, HeardAt);
-  Agent.Confirmed = true;
-  if (!New && !ServiceChanged)
-    return;
-  AgentDirectoryChanged = true;
-  logEvent(LogLevel::Info, "agent_known",
-           {{"agent", toString(Tunnel)},
-            {"service_tag", std::uint64_t{Agent.ServiceTag}}});
-  broadcast(Agents{{{Tunnel, duration_cast<milliseconds>(Now - Agent.HeardAt),
-                     Agent.ServiceTag}},
-                   false});
-}
-
-/// Sends a message to all entry hosts and control hosts.
-void ControlNode::broadcast(const Message &Value) {
-  if (!Hub)
-    return;
-  const Bytes Encoded = encode(Value);
-  sendToEntryHosts(Encoded);
-  for (const auto &[Host, P] : Peers)
-    if (P.Open)
-      Hub->send(*P.Link, Encoded);
-}
-
-void ControlNode::sendToEntryHosts(const Bytes &Encoded) {
-  for (const auto &[Id, L] : IncomingLinks)
-    if (L.HelloReceived && L.From.Sender == Role::Entry)
-      Hub->send(Id, Encoded);
-}
-
-/// Removes agents that no control host has heard from for too long. Other
-/// control hosts decide for themselves, as they may have heard later.
-void ControlNode::removeSilentAgents(TimePoint Now) {
-  if (!hasRecentQuorum()) {
-    QuorumSince.reset();
-    return;
-  }
-  if (!QuorumSince)
-    QuorumSince = Now;
-  std::erase_if(AgentDirectory, [&](const auto &Item) {
-    const auto &[Tunnel, Agent] = Item;
-    const milliseconds Lifetime =
-        Agent.Confirmed ? AgentRecordLifetime : StoredAgentLifetime;
-    if (Now - std::max(Agent.HeardAt, *QuorumSince) < Lifetime)
-      return false;
-    logEvent(LogLevel::Warning, "agent_silent",
-             {{"agent", toString(Tunnel)},
-              {"silent_ms",
-               std::int64_t{
-                   duration_cast<milliseconds>(Now - Agent.HeardAt).count()}},
-              {"stored", !Agent.Confirmed}});
-    AgentDirectoryChanged = true;
-    sendToEntryHosts(encode(AgentDeparted{Tunnel}));
-    return true;
-  });
-}
-
-void ControlNode::removeAgent(const Endpoint &Tunnel) {
-  DepartedAgents[Tunnel] = Time.now();
-  if (AgentDirectory.erase(Tunnel) == 0)
-    return;
-  AgentDirectoryChanged = true;
-  logEvent(LogLevel::Info, "agent_left", {{"agent", toString(Tunnel)}});
-  broadcast(AgentDeparted{Tunnel});
-}
-
-void ControlNode::loadAgents() {
-  const auto Stored = Store.Load();
-  if (!Stored)
-    return logError("agents_unreadable", Stored.error());
-  if (Stored->empty())
-    return;
-  const auto Decoded = decode(*Stored);
-  const auto *Known = Decoded ? std::get_if<Agents>(&*Decoded) : nullptr;
-  if (!Known) {
-    logError("agents_unreadable", Decoded ? Error{ErrorCode::MessageUnknownType,
-                                                  "not a list of agents"}
-                                          : Decoded.error());
-    return;
+  } else if (L.From.Sender == Role::Control) {
+    handleDirectoryMessage(Id, Value);
+  } else if (L.From.Sender == Role::Agent) {
+    if (const auto *Statement = std::get_if<Agents>(&Value))
+      handleAgentStatement(Id, L, *Statement);
+    else if (std::holds_alternative<Status>(Value))
+      confirmStatement(Id, L);
   }
-  // The age of stored records is unknown, so each agent gets the full lifetime
-  // to be heard from again.
-  for (const AgentRecord &R : Known->Known)
-    AgentDirectory[R.Tunnel] = {Time.now(), R.ServiceTag, false};
-  AgentDirectoryReceived = true;
-  logEvent(LogLevel::Info, "agents_loaded",
-           {{"agents", std::uint64_t{AgentDirectory.size()}}});
-}
-
-void ControlNode::saveAgents() {
-  if (!std::exchange(AgentDirectoryChanged, false))
-    return;
-  const auto Saved = Store.Save(encode(allAgents(Time.now())));
-  if (!Saved)
-    logError("agents_unsaved", Saved.error());
 }
 
 // Timers ----------------------------------------------------------------------
@@ -504,7 +360,7 @@
     Hub->send(Id, Current->Message);
   }
   for (const link::LinkId Id : Silent) {
-    IncomingLinks.erase(Id);
+    forgetIncomingLink(Id);
     Hub->close(Id);
   }
 }
@@ -515,21 +371,15 @@
     removeSilentAgents(Now);
     saveAgents();
   }
-  if (Now < GossipDue)
+  if (Now < DigestDue)
     return;
-  constexpr milliseconds GossipInterval{2000};
-  GossipDue = Now + GossipInterval;
-  std::erase_if(DepartedAgents, [Now](const auto &Item) {
-    return Now - Item.second >= AgentRecordLifetime;
-  });
-  const Bytes All = encode(confirmedAgents(Now));
+  DigestDue = Now + DigestInterval;
+  forgetDepartures(Directory, Now);
   const Bytes Hosts = encode(ControlHosts{knownHosts()});
   for (const auto &[Id, L] : IncomingLinks)
     if (L.HelloReceived)
       Hub->send(Id, Hosts);
-  for (const auto &[Host, P] : Peers)
-    if (P.Open)
-      Hub->send(*P.Link, All);
+  sendDigests(Now);
 }
 
 void ControlNode::tick() {
--- a/src/fleet/fleet_client.cpp
+++ b/src/fleet/fleet_client.cpp
@@ -17,6 +17,9 @@
                          FleetClientHandlers Handlers)
     : Options(std::move(InitialOptions)), Time(Time),
       Handlers(std::move(Handlers)) {
+  Own.Tunnel = Options.Tunnel;
+  Own.RunId = Options.RunId;
+  Own.Incarnation = 1;
   setSeeds(Options.Seeds);
   if (!Hosts.empty())
     NextHost = Options.Seed % Hosts.size();
@@ -56,6 +59,8 @@
   HeardAt = QuorumAt = Now;
   Hub->send(
       Id, encode(Hello{Options.Own, Options.Host, Options.Tunnel, version()}));
+  if (Options.Own == Role::Agent)
+    makeStatement();
   sendStatus(Now);
   logEvent(LogLevel::Info, "control_linked",
            {{"control", LinkedHost}, {"version", version()}});
@@ -102,12 +107,7 @@
   } else if (const auto *M = std::get_if<ControlHosts>(&*Decoded)) {
     updateHosts(M->Hosts);
   } else if (const auto *M = std::get_if<Agents>(&*Decoded)) {
-    AgentListComplete = AgentListComplete || M->Complete;
-    if (Handlers.AgentListReceived)
-      Handlers.AgentListReceived(*M);
-  } else if (const auto *M = std::get_if<AgentDeparted>(&*Decoded)) {
-    if (Handlers.AgentLeft)
-      Handlers.AgentLeft(M->Tunnel);
+    handleAgents(*M, Now);
   } else if (auto *M = std::get_if<fleet::Routes>(&*Decoded)) {
     if (M->Table.Version <= version())
       return;
@@ -120,14 +120,71 @@
   }
 }
 
+void FleetClient::handleAgents(const Agents &Received, TimePoint Now) {
+  if (Options.Own == Role::Agent) {
+    for (const AgentRecord &R : Received.Records)
+      if (R.Tunnel == Own.Tunnel)
+        compareWithOwn(R);
+    return;
+  }
+  AgentListComplete = AgentListComplete || Received.Complete;
+  Agents Listed{{}, Received.Complete};
+  std::vector<Endpoint> Departed;
+  for (const AgentRecord &R : Received.Records) {
+    const DirectoryEntry *Known = find(Directory, R.Tunnel);
+    const bool WasListed = Known && !Known->Record.Departed;
+    const MergeResult Result = merge(Directory, R, true, Now);
+    if (Result == MergeResult::Superseded)
+      continue;
+    if (!R.Departed)
+      Listed.Records.push_back(R);
+    else if (WasListed)
+      Departed.push_back(R.Tunnel);
+  }
+  if (Handlers.AgentListReceived)
+    Handlers.AgentListReceived(Listed);
+  if (Handlers.AgentLeft)
+    for (const Endpoint &Tunnel : Departed)
+      Handlers.AgentLeft(Tunnel);
+  forgetDepartures(Directory, Now);
+}
+
+void FleetClient::makeStatement() {
+  ++Own.Number;
+  Own.Departed = !Listed;
+  DeparturePending = Own.Departed;
+  if (Open)
+    Hub->send(*Link, encode(Agents{{Own}}));
+}
+
+void FleetClient::compareWithOwn(const AgentRecord &Record) {
+  if (supersedes(Own, Record))
+    return;
+  if (!supersedes(Record, Own)) {
+    if (std::exchange(DeparturePending, false))
+      disconnect("upstream is gone");
+    return;
+  }
+  logEvent(LogLevel::Info, "statement_superseded",
+           {{"incarnation", Record.Incarnation},
+            {"number", Record.Number},
+            {"own_incarnation", Own.Incarnation},
+            {"own_number", Own.Number}});
+  if (Record.Incarnation == Own.Incarnation && Record.RunId == Own.RunId)
+    Own.Number = Record.Number;
+  else
+    Own.Incarnation = Record.Incarnation + 1;
+  makeStatement();
+}
+
 void FleetClient::setListed(bool NewListed) {
   if (std::exchange(Listed, NewListed) == NewListed)
     return;
-  if (Listed || !Link)
-    return;
-  if (Open)
-    Hub->send(*Link, encode(AgentDeparted{Options.Tunnel}));
-  disconnect("upstream is gone");
+  // Control hosts know nothing of an agent that hasn't made a statement yet.
+  if (Own.Number != 0)
+    makeStatement();
+  else if (!Listed && Link)
+    disconnect("upstream is gone");
 }
 
 void FleetClient::connectToNextHost(TimePoint Now) {
@@ -142,7 +199,7 @@
 void FleetClient::tick() {
   const TimePoint Now = Time.now();
   if (!Link) {
-    if (Listed && Now >= ConnectDue)
+    if ((Listed || DeparturePending) && Now >= ConnectDue)
       connectToNextHost(Now);
     return;
   }
@@ -162,12 +219,12 @@
 
 void FleetClient::sendStatus(TimePoint Now) {
   StatusDue = Now + StatusInterval;
-  Hub->send(*Link, encode(Status{{}, version(), ServiceTag}));
+  Hub->send(*Link, encode(Status{{}, version()}));
 }
 
 void FleetClient::setServiceTag(std::uint32_t Tag) {
-  if (std::exchange(ServiceTag, Tag) != Tag && Open)
-    sendStatus(Time.now());
+  if (std::exchange(Own.ServiceTag, Tag) != Tag && Open)
+    makeStatement();
 }
 
 } // namespace jasminearch::fleet
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -98,24 +98,46 @@
           M.RoutesVersion};
 }
 json fields(const Status &M) {
-  return {M.QuorumAge.count(), M.RoutesVersion, M.ServiceTag};
+  return json::array({M.QuorumAge.count(), M.RoutesVersion});
 }
 json fields(const ControlHosts &M) { return json::array({M.Hosts}); }
+json toJson(const AgentRecord &R) {
+  return json::array({toJson(R.Tunnel), R.Incarnation, R.RunId, R.Number,
+                      R.Departed, R.ServiceTag, R.ControlHost});
+}
+
+AgentRecord toAgentRecord(const json &J) {
+  ArrayReader R(J);
+  AgentRecord Record;
+  Record.Tunnel = toEndpoint(R.element());
+  Record.Incarnation = R.next<std::uint64_t>();
+  Record.RunId = R.next<std::uint64_t>();
+  Record.Number = R.next<std::uint64_t>();
+  Record.Departed = R.next<bool>();
+  Record.ServiceTag = R.next<std::uint32_t>();
+  Record.ControlHost = R.next<std::string>();
+  return Record;
+}
+
 json fields(const Agents &M) {
-  json Known = json::array();
-  for (const AgentRecord &R : M.Known)
-    Known.push_back(
-        json::array({toJson(R.Tunnel), R.Age.count(), R.ServiceTag}));
-  return json::array({std::move(Known), M.Complete});
+  json Records = json::array();
+  for (const AgentRecord &R : M.Records)
+    Records.push_back(toJson(R));
+  return json::array({std::move(Records), M.Complete, M.Buckets});
+}
+json fields(const DirectoryDigest &M) {
+  json Beats = json::array();
+  for (const HostBeat &B : M.Beats)
+    Beats.push_back(json::array({B.Host, B.Count}));
+  return json::array({M.Hash, M.Complete, std::move(Beats)});
 }
+json fields(const DirectoryBuckets &M) { return json::array({M.Hashes}); }
 json fields(const Consensus &M) { return json::array({json::binary(M.Body)}); }
 json fields(const Routes &M) {
   const Bytes Table = json::to_cbor(toJson(M.Table));
   return json::array({json::binary(compress(Table.data(), Table.size()))});
 }
 
-json fields(const AgentDeparted &M) { return json::array({toJson(M.Tunnel)}); }
-
 Hello readHello(ArrayReader &R) {
   Hello M;
   const auto Sender = R.next<unsigned>();
@@ -132,21 +154,37 @@
   Status M;
   M.QuorumAge = R.time();
   M.RoutesVersion = R.next<std::uint64_t>();
-  M.ServiceTag = R.next<std::uint32_t>();
   return M;
 }
 
 Agents readAgents(ArrayReader &R) {
   Agents M;
+  for (const json &J : R.element())
+    M.Records.push_back(toAgentRecord(J));
+  M.Complete = R.next<bool>();
+  M.Buckets = R.next<std::uint64_t>();
+  return M;
+}
+
+DirectoryDigest readDigest(ArrayReader &R) {
+  DirectoryDigest M;
+  M.Hash = R.next<std::uint64_t>();
+  M.Complete = R.next<bool>();
   for (const json &J : R.element()) {
-    ArrayReader Record(J);
-    AgentRecord Known;
-    Known.Tunnel = toEndpoint(Record.element());
-    Known.Age = Record.time();
-    Known.ServiceTag = Record.next<std::uint32_t>();
-    M.Known.push_back(Known);
+    ArrayReader Beat(J);
+    auto Host = Beat.next<std::string>();
+    M.Beats.push_back({std::move(Host), Beat.next<std::uint64_t>()});
   }
-  M.Complete = R.next<bool>();
+  return M;
+}
+
+DirectoryBuckets readBuckets(ArrayReader &R) {
+  DirectoryBuckets M;
+  const json &Hashes = R.element();
+  if (!Hashes.is_array() || Hashes.size() != M.Hashes.size())
+    throw json::other_error::create(501, "wrong number of buckets", &Hashes);
+  for (std::size_t I = 0; I < M.Hashes.size(); ++I)
+    M.Hashes[I] = Hashes[I].get<std::uint64_t>();
   return M;
 }
 
@@ -175,7 +213,9 @@
   case 5:
     return readRoutes(R);
   case 6:
-    return AgentDeparted{toEndpoint(R.element())};
+    return readDigest(R);
+  case 7:
+    return readBuckets(R);
   default:
     return fail(ErrorCode::MessageUnknownType,
                 "unknown fleet message type " + std::to_string(Type));
--- a/tests/fleet_control_test.cpp
+++ b/tests/fleet_control_test.cpp
@@ -534,12 +534,16 @@
     Table.Services = {"a", "b"};
     Table.IdleTimeout = 15s;
     return {Hello{Role::Agent, "10.0.0.1", {3, 4}, 5},
-            Status{70ms, 6, 3},
+            Status{70ms, 6},
             ControlHosts{{"10.0.0.1", "10.0.0.2"}},
-            Agents{{{{1, 2}, 30ms, 7}, {{3, 4}, 0ms, 0}}, true},
+            Agents{{{{1, 2}, 3, 4, 5, true, 7, "10.0.0.1"},
+                    {{3, 4}, 0, 0, 0, false, 0, ""}},
+                   true,
+                   9},
             Consensus{{1, 2, 3}},
             Routes{Table},
-            AgentDeparted{{7, 8}}};
+            DirectoryDigest{7, true, {{"10.0.0.1", 8}}},
+            DirectoryBuckets{{1, 2, 3}}};
   }
 
 public:
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -57,6 +57,8 @@
   std::map<Endpoint, std::uint32_t> ServiceTags;
   std::size_t CompleteLists = 0;
   std::set<Endpoint> DepartedAgents;
+  /// The agents that are listed and haven't left since.
+  std::set<Endpoint> ListedAgents;
 };
 
 class FleetWorld {
@@ -92,27 +94,34 @@
     H.Node->setHub(Hubs.at(Host).get());
   }
 
+  static Endpoint tunnelOf(const std::string &Host) {
+    return {static_cast<std::uint32_t>(std::hash<std::string>{}(Host)), 7720};
+  }
+
   Daemon &startDaemon(const std::string &Host, Role Own) {
     Daemon &D = Daemons[Host];
     FleetClientOptions O;
     O.Own = Own;
     O.Host = Host;
-    O.Tunnel = {static_cast<std::uint32_t>(std::hash<std::string>{}(Host)),
-                7720};
+    O.Tunnel = tunnelOf(Host);
     O.Seeds = Seeds;
-    O.Seed = ++NextSeed;
+    O.Seed = O.RunId = ++NextSeed;
     FleetClientHandlers H;
     H.RoutesChanged = [&D](const std::shared_ptr<const flow::RouteIndex> &R) {
       D.Versions.push_back(R->table().Version);
     };
     H.AgentListReceived = [&D](const Agents &List) {
-      for (const AgentRecord &R : List.Known) {
+      for (const AgentRecord &R : List.Records) {
         D.Agents.insert(R.Tunnel);
+        D.ListedAgents.insert(R.Tunnel);
         D.ServiceTags[R.Tunnel] = R.ServiceTag;
       }
       D.CompleteLists += List.Complete ? 1 : 0;
     };
-    H.AgentLeft = [&D](const Endpoint &A) { D.DepartedAgents.insert(A); };
+    H.AgentLeft = [&D](const Endpoint &A) {
+      D.DepartedAgents.insert(A);
+      D.ListedAgents.erase(A);
+    };
     D.Client = std::make_unique<FleetClient>(O, Time, std::move(H));
     attach(Host, D.Client->linkHandlers());
     D.Client->setHub(Hubs.at(Host).get());
@@ -138,14 +147,39 @@
     for (Duration Done{}; Done < For; Done += std::chrono::milliseconds(10)) {
       Time.advance(std::chrono::milliseconds(10));
       for (auto &[Host, H] : Controls)
-        if (H.Node && !SuspendedHosts.contains(Host))
+        if (H.Node && !SuspendedHosts.contains(Host) &&
+            !PausedHosts.contains(Host))
           H.Node->tick();
       for (auto &[Host, D] : Daemons)
-        D.Client->tick();
+        if (!PausedHosts.contains(Host))
+          D.Client->tick();
       deliver();
     }
   }
 
+  /// Ends the pause of a host, which then reads what waited for it.
+  void resume(const std::string &Host) {
+    PausedHosts.erase(Host);
+    for (auto &Event : std::exchange(Unread[Host], {}))
+      Events.push_back(std::move(Event));
+  }
+
+  /// Closes one link of a host; the other end sees it closed, too.
+  void breakLink(const std::string &Host, std::size_t Index) {
+    const auto It = Hubs.find(Host);
+    if (It == Hubs.end() || It->second->Links.empty())
+      return;
+    auto Link = It->second->Links.begin();
+    std::advance(Link, Index % It->second->Links.size());
+    scheduleClose(Link->second.first, Link->second.second);
+    scheduleClose(Host, Link->first);
+  }
+
+  /// \returns whether both hosts are control hosts.
+  bool areControls(const std::string &A, const std::string &B) const {
+    return Controls.contains(A) && Controls.contains(B);
+  }
+
   ControlNode *leader() {
     for (auto &[Host, H] : Controls)
       if (H.Node && H.Node->leading())
@@ -192,17 +226,33 @@
   std::set<std::string> CutOffHosts;
   /// Hosts whose processes are suspended.
   std::set<std::string> SuspendedHosts;
+  /// Hosts whose processes stand still; messages to them wait.
+  std::set<std::string> PausedHosts;
+  /// Time that the handling of one message takes.
+  Duration EventTime{0};
+  /// Messages between control hosts other than those of the replicated log.
+  std::size_t DirectoryMessages = 0;
+  std::size_t DirectoryBytes = 0;
+  /// The messages of one step didn't end; the rest of them was dropped.
+  bool Overflowed = false;
   std::vector<SubmitResult> Submitted;
 
   // Used by FakeHub.
   std::deque<std::function<void()>> Events;
+  std::map<std::string, std::deque<std::function<void()>>> Unread;
   link::LinkId NextLink = 0;
 
   void scheduleClose(const std::string &Host, link::LinkId Id) {
-    Events.push_back([this, Host, Id] {
+    const auto Close = [this, Host, Id] {
       const auto It = Hubs.find(Host);
       if (It != Hubs.end() && It->second->Links.erase(Id) != 0)
         It->second->Handlers.Closed(Id);
+    };
+    Events.push_back([this, Host, Close] {
+      if (PausedHosts.contains(Host))
+        Unread[Host].push_back(Close);
+      else
+        Close();
     });
   }
 
@@ -212,23 +262,39 @@
   }
 
   void deliver() {
-    while (!Events.empty()) {
+    constexpr std::size_t MaxEventsPerStep = 20'000;
+    for (std::size_t Count = 0; !Events.empty(); ++Count) {
+      if (Count >= MaxEventsPerStep) {
+        Overflowed = true;
+        Events.clear();
+        return;
+      }
       const auto Event = std::move(Events.front());
       Events.pop_front();
       Event();
+      Time.advance(EventTime);
     }
   }
 
   std::uint64_t NextSeed = 0;
 };
 
+/// \returns whether a message is about agents.
+inline bool isDirectoryMessage(const Bytes &Encoded) {
+  const auto Decoded = decode(Encoded);
+  return Decoded && !std::holds_alternative<Consensus>(*Decoded) &&
+         !std::holds_alternative<Status>(*Decoded) &&
+         !std::holds_alternative<Hello>(*Decoded) &&
+         !std::holds_alternative<ControlHosts>(*Decoded);
+}
+
 inline link::LinkId FakeHub::connect(const std::string &Address,
                                      std::uint16_t) {
   const link::LinkId LocalId = ++World.NextLink;
   const link::LinkId RemoteId = ++World.NextLink;
   FleetWorld &W = World;
   W.Events.push_back([&W, LocalId, RemoteId, From = Host, Address] {
-    if (W.isCut(From, Address))
+    if (W.isCut(From, Address) || W.PausedHosts.contains(Address))
       return;
     const auto A = W.Hubs.find(From);
     const auto B = W.Hubs.find(Address);
@@ -251,12 +317,22 @@
   FleetWorld &W = World;
   const std::string To = It->second.first;
   const link::LinkId RemoteId = It->second.second;
-  W.Events.push_back([&W, From = Host, To, RemoteId, Message] {
-    if (W.isCut(From, To) || W.SuspendedHosts.contains(To))
-      return;
+  if (W.areControls(Host, To) && isDirectoryMessage(Message)) {
+    ++W.DirectoryMessages;
+    W.DirectoryBytes += Message.size();
+  }
+  const auto Read = [&W, To, RemoteId, Message] {
     const auto Remote = W.Hubs.find(To);
     if (Remote != W.Hubs.end() && Remote->second->Links.contains(RemoteId))
       Remote->second->Handlers.Received(RemoteId, Message);
+  };
+  W.Events.push_back([&W, From = Host, To, Read] {
+    if (W.isCut(From, To) || W.SuspendedHosts.contains(To))
+      return;
+    if (W.PausedHosts.contains(To))
+      W.Unread[To].push_back(Read);
+    else
+      Read();
   });
 }
 
