--- a/include/jasminearch/error.h
+++ b/include/jasminearch/error.h
@@ -76,6 +76,7 @@
   PermitForged = 605,
   HopLimitReached = 606,
   TakeOverRefused = 607,
+  AnnouncementOutdated = 608,
 };
 
 /// An error code with a description for operators.
--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -55,6 +55,15 @@
 /// it announces itself. Longer than the delay of a first announcement.
 inline constexpr std::chrono::milliseconds UnannouncedFlowWindow{3000};
 
+/// A start takes the place of the current one if it goes on announcing itself
+/// for this long while the current one doesn't. Longer than it takes to read
+/// announcements that waited while the agent was paused, and shorter than the
+/// time between two announcements.
+inline constexpr std::chrono::milliseconds ContestSettleTime{500};
+
+/// Number of earlier starts that an agent remembers.
+inline constexpr std::size_t MaxEarlierStarts = 8;
+
 /// Maximum number of entry hosts that an agent can distinguish by tag.
 inline constexpr std::size_t MaxEntryTags = 0xFFFF;
 
@@ -96,7 +105,30 @@
   auto operator<=>(const AnnouncedUpstream &) const = default;
 };
 
-/// Whether an announcement or withdrawal was accepted, or ignored as outdated.
+/// Identifies one start of an upstream's process. Starts have no order: the
+/// time of a start comes from a clock that may have been set back since the
+/// earlier one.
+struct UpstreamStart {
+  std::string Name;
+  std::int64_t StartedAtMs = 0;
+
+  auto operator<=>(const UpstreamStart &) const = default;
+};
+
+/// Announcements that contradict the current upstream's: they are left over
+/// from an earlier start, or the current one has ended without a sign. Only the
+/// process that runs goes on announcing itself, so its next announcement
+/// decides.
+struct ContestedAnnouncements {
+  UpstreamStart Start;
+  /// Highest number among them.
+  std::uint64_t Number = 0;
+  /// When the first of them arrived.
+  TimePoint Since{};
+};
+
+/// Whether an announcement or withdrawal is in force, or was ignored as
+/// outdated.
 enum class AnnouncementResult : std::uint8_t { Accepted, Outdated };
 
 struct AgentOptions {
@@ -169,6 +201,9 @@
   TimePoint StartedAt{};
   std::optional<AnnouncedUpstream> Upstream;
   TimePoint AnnouncedAt{};
+  std::optional<ContestedAnnouncements> Contested;
+  /// Starts that were current, the latest last.
+  std::deque<UpstreamStart> EarlierStarts;
   /// This run of the agent heard the upstream's first announcement, so it knows
   /// every flow that was opened since the upstream's start.
   bool HeardFirstAnnouncement = false;
@@ -236,7 +271,11 @@
                                  StartListenCheck, AgentDecision>;
 using AgentEffects = std::vector<AgentEffect>;
 
-/// Stores an upstream's announcement unless a newer one is known.
+/// Stores an upstream's announcement. Within one start, the number decides
+/// which announcement is newer. An announcement of another start is accepted at
+/// once if it can only come from a successor, and otherwise once
+/// ContestSettleTime has shown that its process runs. \returns Accepted if the
+/// announcement is in force.
 AnnouncementResult announce(AgentFlows &A, const AnnouncedUpstream &Value,
                             TimePoint Now);
 
--- a/src/error.cpp
+++ b/src/error.cpp
@@ -110,6 +110,8 @@
     return "HopLimitReached";
   case ErrorCode::TakeOverRefused:
     return "TakeOverRefused";
+  case ErrorCode::AnnouncementOutdated:
+    return "AnnouncementOutdated";
   }
   return "Unknown";
 }
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -79,6 +79,20 @@
          Now - A.UpstreamHeardAt < A.Options.Lease;
 }
 
+/// \returns whether another start than the current one has announced itself, so
+/// that the service at the upstream's address is uncertain.
+bool isContested(const AgentFlows &A) {
+  return A.Contested && A.Upstream &&
+         A.Contested->Start !=
+             UpstreamStart{A.Upstream->Name, A.Upstream->StartedAtMs};
+}
+
+/// \returns whether the upstream is certain to be the one that was announced,
+/// and this agent accepts openings for it.
+bool canServe(const AgentFlows &A, TimePoint Now) {
+  return !A.Stopping && hasLease(A, Now) && !isContested(A);
+}
+
 /// \returns whether this agent knows every flow that its upstream holds.
 bool knowsAllFlows(const AgentFlows &A) {
   return A.Upstream && A.HeardFirstAnnouncement;
@@ -242,9 +256,7 @@
   if (C.A.Waiting.empty())
     return;
   expireWaiting(C);
-  const bool CanServe = hasLease(C.A, C.Now) && !C.A.Stopping &&
-                        C.A.Upstream->State == UpstreamState::Ready;
-  if (!CanServe)
+  if (!canServe(C.A, C.Now) || C.A.Upstream->State != UpstreamState::Ready)
     return returnWaiting(C);
   while (!C.A.Waiting.empty() && hasCapacity(C.A, C.Now)) {
     const WaitingOpening W = removeWaiting(C.A, nextToDeliver(C.A, C.Now));
@@ -408,32 +420,55 @@
   });
 }
 
-} // namespace
+/// \returns whether an announcement of \p Start, which isn't the current one,
+/// can only come from a successor of the current start: it has a later start
+/// time, or the current upstream is known to be gone.
+bool isSuccessor(const AgentFlows &A, const UpstreamStart &Start) {
+  const bool Earlier = std::find(A.EarlierStarts.begin(), A.EarlierStarts.end(),
+                                 Start) != A.EarlierStarts.end();
+  return !Earlier &&
+         (upstreamGone(A) || Start.StartedAtMs >= A.Upstream->StartedAtMs);
+}
 
-AnnouncementResult announce(AgentFlows &A, const AnnouncedUpstream &Value,
-                            TimePoint Now) {
-  ++A.Counters.Announcements;
-  if (A.Upstream) {
-    const AnnouncedUpstream &Current = *A.Upstream;
-    const bool Older =
-        Value.StartedAtMs < Current.StartedAtMs ||
-        (Value.StartedAtMs == Current.StartedAtMs &&
-         Value.Name == Current.Name && Value.Number < Current.Number);
-    if (Older) {
-      ++A.Counters.AnnouncementsOutdated;
-      return AnnouncementResult::Outdated;
-    }
-    // A restarted upstream holds none of its earlier flows.
-    if (Value.StartedAtMs != Current.StartedAtMs ||
-        Value.Name != Current.Name) {
-      forgetEarlierFlows(A, Now);
-      A.HeardFirstAnnouncement = false;
-      A.InFlight = 0;
-      A.RecentOpenings.clear();
-      A.UnansweredSince.reset();
-    }
+/// Records an announcement that contradicts the current upstream. \returns
+/// whether its process is known to run: it has announced itself again after
+/// ContestSettleTime, and the current one hasn't.
+bool winsContest(AgentFlows &A, const AnnouncedUpstream &Value, TimePoint Now) {
+  const UpstreamStart Start{Value.Name, Value.StartedAtMs};
+  if (!A.Contested || A.Contested->Start != Start) {
+    A.Contested = ContestedAnnouncements{Start, Value.Number, Now};
+    return false;
   }
+  const bool GoesOn = Value.Number > A.Contested->Number;
+  A.Contested->Number = std::max(A.Contested->Number, Value.Number);
+  return GoesOn && Now - A.Contested->Since >= ContestSettleTime;
+}
+
+/// Forgets what belongs to the current start: its successor holds none of its
+/// flows.
+void forgetCurrentStart(AgentFlows &A, TimePoint Now) {
+  A.EarlierStarts.push_back({A.Upstream->Name, A.Upstream->StartedAtMs});
+  if (A.EarlierStarts.size() > MaxEarlierStarts)
+    A.EarlierStarts.pop_front();
+  forgetEarlierFlows(A, Now);
+  A.HeardFirstAnnouncement = false;
+  A.InFlight = 0;
+  A.RecentOpenings.clear();
+  A.UnansweredSince.reset();
+}
+
+AnnouncementResult acceptAnnouncement(AgentFlows &A,
+                                      const AnnouncedUpstream &Value,
+                                      TimePoint Now) {
+  const bool SameStart = A.Upstream && A.Upstream->Name == Value.Name &&
+                         A.Upstream->StartedAtMs == Value.StartedAtMs;
+  // An announcement that was read in the same moment as one of another start
+  // doesn't show which of the two processes still runs.
+  if (!SameStart || !isContested(A) ||
+      Now - A.Contested->Since >= ContestSettleTime)
+    A.Contested.reset();
   A.Upstream = Value;
+  std::erase(A.EarlierStarts, UpstreamStart{Value.Name, Value.StartedAtMs});
   A.HeardFirstAnnouncement =
       A.HeardFirstAnnouncement || Value.Number <= FirstAnnouncementNumber;
   A.Withdrawn = A.NotListening = A.ListenCheckPending = false;
@@ -441,7 +476,32 @@
   return AnnouncementResult::Accepted;
 }
 
+} // namespace
+
+AnnouncementResult announce(AgentFlows &A, const AnnouncedUpstream &Value,
+                            TimePoint Now) {
+  ++A.Counters.Announcements;
+  if (!A.Upstream)
+    return acceptAnnouncement(A, Value, Now);
+  const UpstreamStart Start{Value.Name, Value.StartedAtMs};
+  const UpstreamStart Current{A.Upstream->Name, A.Upstream->StartedAtMs};
+  // A copy of the announcement in force changes nothing.
+  if (Value == *A.Upstream && !upstreamGone(A))
+    return AnnouncementResult::Accepted;
+  const bool IsNewer = Start == Current ? Value.Number >= A.Upstream->Number
+                                        : isSuccessor(A, Start);
+  if (!IsNewer && !winsContest(A, Value, Now)) {
+    ++A.Counters.AnnouncementsOutdated;
+    return AnnouncementResult::Outdated;
+  }
+  if (Start != Current || Value.Number < A.Upstream->Number)
+    forgetCurrentStart(A, Now);
+  return acceptAnnouncement(A, Value, Now);
+}
+
 AnnouncementResult withdraw(AgentFlows &A, const std::string &Name) {
+  if (A.Contested && A.Contested->Start.Name == Name)
+    A.Contested.reset();
   if (!A.Upstream || A.Upstream->Name != Name)
     return AnnouncementResult::Outdated;
   A.Upstream->State = UpstreamState::Unknown;
@@ -453,8 +513,7 @@
 
 bool acceptsNewFlows(const AgentFlows &A, std::uint32_t ServiceTag,
                      TimePoint Now) {
-  return !A.Stopping && hasLease(A, Now) &&
-         A.Upstream->State == UpstreamState::Ready &&
+  return canServe(A, Now) && A.Upstream->State == UpstreamState::Ready &&
          serviceTag(A.Upstream->Service) == ServiceTag;
 }
 
@@ -607,8 +666,7 @@
   if (A.Upstream) {
     const AnnouncedUpstream &U = *A.Upstream;
     R.ServiceTag = serviceTag(U.Service);
-    const bool CanServe = hasLease(A, Now) && !A.Stopping;
-    R.State = CanServe ? U.State : UpstreamState::Unknown;
+    R.State = canServe(A, Now) ? U.State : UpstreamState::Unknown;
     R.Slots = U.Slots;
     const auto Since = duration_cast<milliseconds>(Now - A.AnnouncedAt);
     R.ColdRemaining = std::max(milliseconds{0}, U.ColdRemaining - Since);
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -1,5 +1,7 @@
 #include "flow_support.h"
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
+#include <random>
 
 using namespace jasminearch;
 using namespace jasminearch::flow;
@@ -17,6 +19,12 @@
   CPPUNIT_TEST(keepsFlowsOfADrainingUpstream);
   CPPUNIT_TEST(declinesWhenTheUpstreamIsNotHeard);
   CPPUNIT_TEST(ignoresOutdatedAnnouncements);
+  CPPUNIT_TEST(followsARestartWhoseClockWasSetBack);
+  CPPUNIT_TEST(followsSoundNumbersAfterAnExcessiveOne);
+  CPPUNIT_TEST(followsSoundStartTimesAfterAnExcessiveOne);
+  CPPUNIT_TEST(leftoversOfAnEarlierStartTakeNoOpenings);
+  CPPUNIT_TEST(copiesOfAnAnnouncementChangeNothing);
+  CPPUNIT_TEST(followsTheRunningStartAfterRandomInterleavings);
   CPPUNIT_TEST(forgetsFlowsOfAnEarlierStart);
   CPPUNIT_TEST(returnsPacketsWithoutMarks);
   CPPUNIT_TEST(dropsPacketsThatAnEarlierRunTagged);
@@ -50,6 +58,9 @@
   CPPUNIT_TEST(countsMalformedInput);
   CPPUNIT_TEST_SUITE_END();
 
+  /// Time between two announcements of an upstream.
+  static constexpr std::chrono::milliseconds AnnouncementInterval{1200};
+
   AgentFlows A;
   AgentEffects Out;
   TimePoint Now = TimePoint(1h);
@@ -66,6 +77,20 @@
     return U;
   }
 
+  /// \returns the announcement of a start of an upstream of "orders".
+  static AnnouncedUpstream start(const std::string &Name,
+                                 std::int64_t StartedAtMs,
+                                 std::uint64_t AnnouncementNumber) {
+    AnnouncedUpstream U;
+    U.Name = Name;
+    U.Service = "orders";
+    U.State = UpstreamState::Ready;
+    U.Slots = 2;
+    U.Number = AnnouncementNumber;
+    U.StartedAtMs = StartedAtMs;
+    return U;
+  }
+
   /// Sets up an agent that restarted beside a running upstream, or one that has
   /// heard its upstream's first announcement.
   void begin(bool HeardFirstAnnouncement = false) {
@@ -199,6 +224,138 @@
     CPPUNIT_ASSERT_EQUAL(std::string("i-2"), A.Upstream->Name);
   }
 
+  /// Guards against an upstream whose notice that it leaves is acknowledged and
+  /// ignored: its clock was set back between two starts, so that its later
+  /// start has the earlier start time.
+  void followsARestartWhoseClockWasSetBack() {
+    begin();
+    announce(A, start("i-1", 3000, 1), Now);
+    Now += 100ms;
+    CPPUNIT_ASSERT(announce(A, start("i-1", 2000, 1), Now) ==
+                   AnnouncementResult::Outdated);
+    // Until one of the two goes on, no opening may reach a wrong service.
+    CPPUNIT_ASSERT(!acceptsNewFlows(A, serviceTag("orders"), Now));
+    CPPUNIT_ASSERT(buildReport(A, Now).State != UpstreamState::Ready);
+    Now += AnnouncementInterval;
+    CPPUNIT_ASSERT(announce(A, start("i-1", 2000, 2), Now) ==
+                   AnnouncementResult::Accepted);
+    CPPUNIT_ASSERT(acceptsNewFlows(A, serviceTag("orders"), Now));
+    Now += AnnouncementInterval;
+    AnnouncedUpstream Leaving = start("i-1", 2000, 3);
+    Leaving.State = UpstreamState::Draining;
+    CPPUNIT_ASSERT(announce(A, Leaving, Now) == AnnouncementResult::Accepted);
+    CPPUNIT_ASSERT(!acceptsNewFlows(A, serviceTag("orders"), Now));
+  }
+
+  /// Guards against ignoring an upstream for good after one announcement with a
+  /// number that its own numbers never reach.
+  void followsSoundNumbersAfterAnExcessiveOne() {
+    begin();
+    AnnouncedUpstream Excessive = announced();
+    Excessive.Number = std::numeric_limits<std::uint64_t>::max();
+    announce(A, Excessive, Now);
+    Now += AnnouncementInterval;
+    CPPUNIT_ASSERT(announce(A, announced(UpstreamState::Draining), Now) ==
+                   AnnouncementResult::Outdated);
+    Now += AnnouncementInterval;
+    CPPUNIT_ASSERT(announce(A, announced(UpstreamState::Draining), Now) ==
+                   AnnouncementResult::Accepted);
+    CPPUNIT_ASSERT(!acceptsNewFlows(A, serviceTag("orders"), Now));
+  }
+
+  void followsSoundStartTimesAfterAnExcessiveOne() {
+    begin();
+    announce(A,
+             start("i-1", std::numeric_limits<std::int64_t>::max(), 1'000'000),
+             Now);
+    for (int I = 0; I < 2; ++I) {
+      Now += AnnouncementInterval;
+      announce(A, announced(), Now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, A.Upstream->StartedAtMs);
+  }
+
+  /// Guards against openings of one service that reach another one's upstream:
+  /// announcements of an earlier start with a later start time were read after
+  /// its successor's, as after a pause of the agent.
+  void leftoversOfAnEarlierStartTakeNoOpenings() {
+    begin();
+    announce(A, start("i-1", 3000, 1), Now);
+    AnnouncedUpstream Successor = start("i-2", 2000, 1);
+    Successor.Service = "catalogue";
+    announce(A, Successor, Now);
+    for (std::uint64_t Leftover = 2; Leftover <= 4; ++Leftover)
+      announce(A, start("i-1", 3000, Leftover), Now);
+    CPPUNIT_ASSERT(!acceptsNewFlows(A, serviceTag("orders"), Now));
+    Now += AnnouncementInterval;
+    Successor.Number = 2;
+    announce(A, Successor, Now);
+    CPPUNIT_ASSERT(acceptsNewFlows(A, serviceTag("catalogue"), Now));
+    for (std::uint64_t Leftover = 5; Leftover <= 7; ++Leftover) {
+      CPPUNIT_ASSERT(announce(A, start("i-1", 3000, Leftover), Now) ==
+                     AnnouncementResult::Outdated);
+      CPPUNIT_ASSERT(!acceptsNewFlows(A, serviceTag("orders"), Now));
+    }
+    Now += AnnouncementInterval;
+    Successor.Number = 4;
+    CPPUNIT_ASSERT(announce(A, Successor, Now) == AnnouncementResult::Accepted);
+    CPPUNIT_ASSERT(acceptsNewFlows(A, serviceTag("catalogue"), Now));
+  }
+
+  /// Guards against a lease that old copies of one announcement renew.
+  void copiesOfAnAnnouncementChangeNothing() {
+    begin();
+    const AnnouncedUpstream Value = announced();
+    announce(A, Value, Now);
+    Now += A.Options.Lease;
+    CPPUNIT_ASSERT(announce(A, Value, Now) == AnnouncementResult::Accepted);
+    CPPUNIT_ASSERT(!acceptsNewFlows(A, serviceTag("orders"), Now));
+  }
+
+  /// Guards against an agent that follows a start that has ended, whatever the
+  /// clocks of the starts showed and in whatever order their announcements
+  /// arrived, late and repeated ones among them.
+  void followsTheRunningStartAfterRandomInterleavings() {
+    for (std::uint64_t Seed = 1; Seed <= 500; ++Seed) {
+      std::mt19937_64 Random(Seed);
+      const auto Number = [&Random](std::uint64_t Limit) {
+        return std::uniform_int_distribution<std::uint64_t>(0, Limit)(Random);
+      };
+      A = {};
+      A.Options.Codec = codec();
+      std::vector<AnnouncedUpstream> Undelivered;
+      AnnouncedUpstream Running;
+      for (int Start = 0; Start < 4; ++Start) {
+        Running = start("i-" + std::to_string(Number(2)),
+                        static_cast<std::int64_t>(1000 + Number(5)), 0);
+        for (std::uint64_t Count = Number(4); Count > 0; --Count) {
+          ++Running.Number;
+          Undelivered.push_back(Running);
+          Now += AnnouncementInterval;
+          while (!Undelivered.empty() && Number(3) != 0) {
+            const std::size_t Index = Number(Undelivered.size() - 1);
+            announce(A, Undelivered[Index], Now);
+            if (Number(3) != 0)
+              Undelivered.erase(Undelivered.begin() +
+                                static_cast<std::ptrdiff_t>(Index));
+          }
+        }
+      }
+      for (const AnnouncedUpstream &Late : Undelivered)
+        announce(A, Late, Now);
+      AnnouncementResult Last = AnnouncementResult::Outdated;
+      for (int I = 0; I < 3; ++I) {
+        Now += AnnouncementInterval;
+        ++Running.Number;
+        Running.State = UpstreamState::Draining;
+        Last = announce(A, Running, Now);
+      }
+      const std::string Name = "seed " + std::to_string(Seed);
+      CPPUNIT_ASSERT_MESSAGE(Name, Last == AnnouncementResult::Accepted);
+      CPPUNIT_ASSERT_MESSAGE(Name, A.Upstream == Running);
+    }
+  }
+
   void forgetsFlowsOfAnEarlierStart() {
     begin();
     busyFlow(1);
