--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -178,6 +178,8 @@
   TimePoint ResponseDeadline{};
   /// 0 is the most urgent.
   std::uint8_t Priority = 0;
+  /// serviceTag() of the service for which the entry host placed the flow.
+  std::uint32_t ServiceTag = 0;
 };
 
 struct AgentCounters {
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -177,6 +177,8 @@
 struct PendingOpening {
   Bytes Raw;
   TimePoint ArrivedAt{};
+  /// Version of the routes to which ProbedAt, ServiceIndex and WaveSize belong.
+  std::uint64_t RoutesVersion = 0;
   /// When the probes of the current wave were sent; empty before that.
   std::optional<TimePoint> ProbedAt;
   /// Index of the service that is tried, in the order of preference.
@@ -184,7 +186,8 @@
   /// Number of agents whose reports are compared.
   std::size_t WaveSize = CandidatesPerFlow;
   /// The agent that was sent an earlier copy of this opening. It gets this copy
-  /// too unless its upstream is silent.
+  /// too, unless its upstream is silent or the routes in force send no flows to
+  /// its service.
   std::optional<Endpoint> Earlier;
   /// Agents that have declined the flow.
   std::vector<Endpoint> Excluded;
--- a/include/jasminearch/flow/routes.h
+++ b/include/jasminearch/flow/routes.h
@@ -80,6 +80,9 @@
 /// positive weight.
 const std::string *selectService(const Route &R, std::uint64_t Hash);
 
+/// \returns whether new flows of \p R may go to the service with this tag.
+bool allowsService(const Route &R, std::uint32_t ServiceTag);
+
 } // namespace jasminearch::flow
 
 #endif // JASMINEARCH_FLOW_ROUTES_H
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -223,7 +223,8 @@
                  "requests in flight use the upstream's full capacity");
   const TimePoint SentAt = C.Now - Header.Age;
   C.A.Waiting.push_back({P.Flow, Entry, Bytes(Raw.begin(), Raw.end()), SentAt,
-                         SentAt + Header.Objective, Header.Priority});
+                         SentAt + Header.Objective, Header.Priority,
+                         Header.ServiceTag});
   if (expectedWait(C.A) < MaxOpeningAge)
     return;
   const WaitingOpening W = removeWaiting(C.A, nextToDecline(C.A, C.Now));
@@ -245,10 +246,20 @@
   }
 }
 
-/// Returns all waiting openings, so that they go to another upstream.
-void returnWaiting(Context &C) {
-  for (const WaitingOpening &W : std::exchange(C.A.Waiting, {}))
-    returnPacket(C, W.Entry, FlowPresence::NotReady, W.Raw);
+/// Returns the waiting openings that the upstream can't take, so that they go
+/// to another one: all of them unless it is ready, and those that were placed
+/// for the service of its predecessor.
+void returnUnservable(Context &C) {
+  const bool Serves =
+      canServe(C.A, C.Now) && C.A.Upstream->State == UpstreamState::Ready;
+  const std::uint32_t Tag = Serves ? serviceTag(C.A.Upstream->Service) : 0;
+  const auto Returned = std::partition(C.A.Waiting.begin(), C.A.Waiting.end(),
+                                       [Serves, Tag](const WaitingOpening &W) {
+                                         return Serves && W.ServiceTag == Tag;
+                                       });
+  for (auto It = Returned; It != C.A.Waiting.end(); ++It)
+    returnPacket(C, It->Entry, FlowPresence::NotReady, It->Raw);
+  C.A.Waiting.erase(Returned, C.A.Waiting.end());
 }
 
 /// Delivers waiting openings while the upstream has capacity.
@@ -256,8 +267,7 @@
   if (C.A.Waiting.empty())
     return;
   expireWaiting(C);
-  if (!canServe(C.A, C.Now) || C.A.Upstream->State != UpstreamState::Ready)
-    return returnWaiting(C);
+  returnUnservable(C);
   while (!C.A.Waiting.empty() && hasCapacity(C.A, C.Now)) {
     const WaitingOpening W = removeWaiting(C.A, nextToDeliver(C.A, C.Now));
     if (const auto P = C.A.Options.Codec.Decode(W.Raw, Direction::FromCaller))
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -166,10 +166,19 @@
 
 /// Sends a copy of an opening to the agent that got the earlier copy. Most
 /// copies replace a lost packet, or the flow waits at its agent; only a silent
-/// upstream is replaced by another one.
+/// upstream, or one of a service that the routes no longer name, is replaced by
+/// another one.
 Progress offerToEarlier(EntryContext &C, const Packet &P, const Route &R,
                         PendingOpening &O) {
   const Endpoint Agent = *O.Earlier;
+  const auto Placed = C.E.Flows.find(P.Flow);
+  if (Placed != C.E.Flows.end() &&
+      !allowsService(R, Placed->second.ServiceTag)) {
+    recordDecision(C, "opening_moved", P.Flow,
+                   "the routes in force name other services", Agent);
+    O.Earlier.reset();
+    return Progress::NotPlaced;
+  }
   if (awaitReports(C, P.Flow, O, {Agent}))
     return Progress::Waits;
   O.ProbedAt.reset();
@@ -183,10 +192,22 @@
     O.Excluded.push_back(Agent);
     return Progress::NotPlaced;
   }
+  recordDecision(C, "opening_repeated", P.Flow, "copy of an earlier opening",
+                 Agent);
   forwardOpening(C, O, P, R, Agent, Cached->second.ServiceTag);
   return Progress::Placed;
 }
 
+/// Starts again if the progress of an opening was made under other routes.
+void checkRoutesVersion(const EntryContext &C, PendingOpening &O) {
+  const std::uint64_t InForce = C.E.Routes->table().Version;
+  if (std::exchange(O.RoutesVersion, InForce) == InForce)
+    return;
+  O.ProbedAt.reset();
+  O.ServiceIndex = 0;
+  O.WaveSize = CandidatesPerFlow;
+}
+
 /// Compares the reports of the highest-ranked agents of one service, more of
 /// them as long as none can take the flow.
 Progress offerToService(EntryContext &C, const Packet &P, const Route &R,
@@ -229,6 +250,7 @@
   const Route *R = C.E.Routes->find(Flow.Service);
   if (!P || !R)
     return refuse(C, Flow, O);
+  checkRoutesVersion(C, O);
   if (O.Earlier) {
     const Progress Result = offerToEarlier(C, *P, *R, O);
     if (Result == Progress::Placed)
--- a/src/flow/routes.cpp
+++ b/src/flow/routes.cpp
@@ -1,6 +1,8 @@
 #include "jasminearch/flow/routes.h"
+#include "jasminearch/flow/tunnel.h"
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <utility>
 
 namespace jasminearch::flow {
@@ -84,4 +86,11 @@
   return Last;
 }
 
+bool allowsService(const Route &R, std::uint32_t ServiceTag) {
+  return std::any_of(
+      R.Targets.begin(), R.Targets.end(), [ServiceTag](const RouteTarget &T) {
+        return T.Weight > 0 && serviceTag(T.Service) == ServiceTag;
+      });
+}
+
 } // namespace jasminearch::flow
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(onlyUnansweredPacketsCountAsSilence);
   CPPUNIT_TEST(queuesOpeningsWithoutCapacity);
   CPPUNIT_TEST(returnsWaitingOpeningsWhenTheUpstreamDrains);
+  CPPUNIT_TEST(returnsWaitingOpeningsOfAnotherService);
   CPPUNIT_TEST(declinesOpeningsThatWouldWaitTooLong);
   CPPUNIT_TEST(dropsOpeningsThatCallersGaveUp);
   CPPUNIT_TEST(freesCapacityOfAbandonedRequests);
@@ -152,7 +153,8 @@
                          encode(opening(Port)),
                          Now - Age,
                          Now - Age + 300ms,
-                         Priority});
+                         Priority,
+                         serviceTag("orders")});
   }
 
   FlowPresence located(std::uint16_t Port) {
@@ -729,6 +731,24 @@
     CPPUNIT_ASSERT(A.Waiting.empty());
   }
 
+  /// Guards against openings that reach another service's upstream: they waited
+  /// for the capacity of an upstream whose address was reused meanwhile.
+  void returnsWaitingOpeningsOfAnotherService() {
+    begin();
+    for (std::uint16_t Port = 1; Port <= 4; ++Port)
+      busyFlow(Port);
+    forward(opening(9));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, A.Waiting.size());
+    AnnouncedUpstream Successor = start("i-2", 2000, 1);
+    Successor.Service = "catalogue";
+    announce(A, Successor, Now);
+    Out.clear();
+    tick(A, Now, Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent(TunnelKind::Returned).size());
+    CPPUNIT_ASSERT(A.Waiting.empty());
+  }
+
   void declinesOpeningsThatWouldWaitTooLong() {
     begin();
     A.ResponseTime = 300ms;
--- a/tests/flow_entry_test.cpp
+++ b/tests/flow_entry_test.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
+#include <random>
 
 using namespace jasminearch;
 using namespace jasminearch::flow;
@@ -15,6 +16,9 @@
   CPPUNIT_TEST(placesOnTheLeastLoaded);
   CPPUNIT_TEST(sendsCopiesToTheSameAgent);
   CPPUNIT_TEST(movesACopyWhenTheUpstreamIsSilent);
+  CPPUNIT_TEST(movesACopyWhenTheRouteNamesAnotherService);
+  CPPUNIT_TEST(startsAnOpeningAgainUnderNewRoutes);
+  CPPUNIT_TEST(placesOpeningsOnlyAsTheRoutesInForceAllow);
   CPPUNIT_TEST(offersADeclinedOpeningElsewhere);
   CPPUNIT_TEST(refusesOnceEveryUpstreamDeclined);
   CPPUNIT_TEST(refusesAtOnceWithoutUpstreams);
@@ -332,6 +336,95 @@
     }
   }
 
+  /// Guards against openings that go to the service of an older version: copies
+  /// followed the first one to its agent after the route had moved.
+  void movesACopyWhenTheRouteNamesAnotherService() {
+    begin(2);
+    packet(opening(1));
+    CPPUNIT_ASSERT_EQUAL(serviceTag("orders"),
+                         forwards(Out).at(0).Header.ServiceTag);
+    addListedAgents(E, {{agentAt(9), serviceTag("catalogue")}}, false, Now);
+    load(9, readyReport("catalogue"));
+    setRoutes(E, std::make_shared<const RouteIndex>(routesTo("catalogue", 2)));
+    for (std::uint32_t Copy = 1; Copy <= 2; ++Copy) {
+      packet(opening(1, Copy));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+      CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(9));
+      CPPUNIT_ASSERT_EQUAL(serviceTag("catalogue"),
+                           forwards(Out).at(0).Header.ServiceTag);
+    }
+  }
+
+  /// Guards against a refusal of an opening that can be served: its first
+  /// service had been passed over under older routes.
+  void startsAnOpeningAgainUnderNewRoutes() {
+    begin(0);
+    RouteTable Table = routesTo("orders", 2);
+    Table.Services = {"orders", "catalogue"};
+    Table.Routes[0].Targets = {{"orders", 1e9}, {"catalogue", 1.0}};
+    setRoutes(E, std::make_shared<const RouteIndex>(Table));
+    addListedAgents(E, {{agentAt(9), serviceTag("catalogue")}}, true, Now);
+    tick(E, Now, Out);
+    packet(opening(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, probes().size());
+    // Now the opening waits for the second service's agent.
+    addListedAgents(E, {{agentAt(1), serviceTag("orders")}}, true, Now);
+    load(1, readyReport("orders"));
+    Table = routesTo("orders", 3);
+    setRoutes(E, std::make_shared<const RouteIndex>(Table));
+    Now += ProbeTimeout;
+    Out.clear();
+    tick(E, Now, Out);
+    CPPUNIT_ASSERT(!wasReset());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+    CPPUNIT_ASSERT(forwards(Out).at(0).To == agentAt(1));
+  }
+
+  /// Guards against openings of an older version in any order of copies, new
+  /// routes, reports and returned openings.
+  void placesOpeningsOnlyAsTheRoutesInForceAllow() {
+    const std::vector<std::string> Services = {"orders", "catalogue", "sheets"};
+    for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+      std::mt19937_64 Random(Seed);
+      const auto Number = [&Random](std::size_t Limit) {
+        return std::uniform_int_distribution<std::size_t>(0, Limit - 1)(Random);
+      };
+      begin(2);
+      for (std::uint32_t Agent = 3; Agent <= 6; ++Agent)
+        addListedAgents(E, {{agentAt(Agent), serviceTag(Services[Agent % 3])}},
+                        true, Now);
+      std::uint64_t Version = 1;
+      for (int Step = 0; Step < 100; ++Step) {
+        const auto Port = static_cast<std::uint16_t>(1 + Number(4));
+        const auto Agent = static_cast<std::uint32_t>(1 + Number(6));
+        Out.clear();
+        switch (Number(5)) {
+        case 0:
+          setRoutes(E, std::make_shared<const RouteIndex>(
+                           routesTo(Services[Number(3)], ++Version)));
+          break;
+        case 1:
+          load(Agent, readyReport(Agent <= 2 ? "orders" : Services[Agent % 3]));
+          break;
+        case 2:
+          returnPacket(Agent, opening(Port), FlowPresence::NotReady);
+          break;
+        case 3:
+          Now += 70ms;
+          tick(E, Now, Out);
+          break;
+        default:
+          packet(opening(Port, static_cast<std::uint32_t>(Number(3))));
+        }
+        const std::uint32_t Allowed =
+            serviceTag(E.Routes->table().Routes[0].Targets[0].Service);
+        for (const SentTunnel &Sent : forwards(Out))
+          CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(Seed), Allowed,
+                                       Sent.Header.ServiceTag);
+      }
+    }
+  }
+
   /// Guards against openings that are lost because their upstream hangs.
   void movesACopyWhenTheUpstreamIsSilent() {
     begin(2);
