Refuse odd numbers and deep nesting in input (report of other operators)

What other operators saw: one odd entry of another writer, nested very deeply, with a number too large or a port out of range; the machines that read the list ended again and again, or stopped following it.

Can it happen here: in part. A message between hosts or a stored list that is nested 5,000,000 deep ended the process (trial against the code before: exit 139 in fleet::decode()); 60,000 deep, as in a datagram, was refused. Heartbeats and configurations with a fraction, a negative or an excessive number were taken with another number; "routes": null was a configuration without routes; weights could add up to infinity; zero slots divided by zero. A refused document of 1 MB made an error of 1 MB. Deep nesting in JSON was refused before.

Fix: every number of a document has a range, and an error names the key, the range and the value; names have at most 255 bytes; CBOR from outside is checked for its depth before the recursive decoder runs. The limit that the replicated log's decoder had is shared.

--- a/src/agent/handover.cpp
+++ b/src/agent/handover.cpp
@@ -369,8 +369,11 @@
 
 Expected<void> applyHandoverPart(State &Target, HandoverProgress &Progress,
                                  const Bytes &Part, TimePoint Now) {
+  const auto Decoded = control::parseCbor(Part);
+  if (!Decoded)
+    return tl::unexpected(Decoded.error());
+  const json &Encoded = *Decoded;
   try {
-    const json Encoded = json::from_cbor(Part);
     if (Progress.PartsSeen == 0 &&
         Encoded.at(1).get<unsigned>() != HandoverVersion)
       return fail(ErrorCode::TakeOverRefused,
--- a/src/agent/load.cpp
+++ b/src/agent/load.cpp
@@ -1,4 +1,5 @@
 #include "jasminearch/agent/load.h"
+#include "jasminearch/cbor_input.h"
 #include <nlohmann/json.hpp>
 
 namespace jasminearch::agent {
@@ -36,8 +37,8 @@
 }
 
 Expected<LoadReport> decodeLoad(absl::Span<const std::uint8_t> Payload) {
-  const json Read =
-      json::from_cbor(Payload.begin(), Payload.end(), true, false);
+  const auto Decoded = parseCborArrays(Payload, 1);
+  const json Read = Decoded ? *Decoded : json();
   if (!Read.is_array() || Read.size() != LoadFieldCount || !isUint32(Read[0]) ||
       !isUint32(Read[1]) || !isUint32(Read[2]) || !Read[3].is_boolean())
     return fail(
--- a/src/consensus/cbor.cpp
+++ b/src/consensus/cbor.cpp
@@ -1,4 +1,5 @@
 #include "jasminearch/consensus/detail/cbor.h"
+#include "jasminearch/cbor_input.h"
 #include <limits>
 #include <utility>
 
@@ -10,50 +11,10 @@
 /// entries, entry); the others are spare.
 constexpr unsigned MaxNestingDepth = 5;
 
-/// Rejects maps, invalid CBOR and arrays nested deeper than MaxNestingDepth,
-/// without building a value.
-class DepthChecker : public nlohmann::json_sax<Json> {
-public:
-  bool null() override { return true; }
-  bool boolean(bool /*Value*/) override { return true; }
-  bool number_integer(number_integer_t /*Value*/) override { return true; }
-  bool number_unsigned(number_unsigned_t /*Value*/) override { return true; }
-  bool number_float(number_float_t /*Value*/,
-                    const string_t & /*Text*/) override {
-    return true;
-  }
-  bool string(string_t & /*Value*/) override { return true; }
-  bool binary(binary_t & /*Value*/) override { return true; }
-  bool start_object(std::size_t /*Elements*/) override { return false; }
-  bool key(string_t & /*Value*/) override { return false; }
-  bool end_object() override { return false; }
-  bool start_array(std::size_t /*Elements*/) override {
-    return ++Depth <= MaxNestingDepth;
-  }
-  bool end_array() override {
-    --Depth;
-    return true;
-  }
-  bool parse_error(std::size_t /*Position*/, const std::string & /*Token*/,
-                   const nlohmann::detail::exception & /*E*/) override {
-    return false;
-  }
-
-private:
-  unsigned Depth = 0;
-};
-
 } // namespace
 
 Expected<Json> decodeCbor(const Bytes &Encoded) {
-  DepthChecker Check;
-  if (!Json::sax_parse(Encoded, &Check, Json::input_format_t::cbor))
-    return fail(ErrorCode::MessageMalformed,
-                "invalid CBOR, or contains a map or more than 5 nested arrays");
-  Json Decoded = Json::from_cbor(Encoded, true, false);
-  if (Decoded.is_discarded())
-    return fail(ErrorCode::MessageMalformed, "invalid CBOR");
-  return Decoded;
+  return parseCborArrays(Encoded, MaxNestingDepth);
 }
 
 ArrayReader::ArrayReader(const Json &From)
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -1,4 +1,5 @@
 #include "jasminearch/fleet/messages.h"
+#include "jasminearch/cbor_input.h"
 #include "jasminearch/compress.h"
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -10,6 +11,10 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+/// Nested arrays of the deepest message: an agent's endpoint in a list of
+/// agents, and a target in a table of routes.
+constexpr unsigned MaxNestingDepth = 5;
+
 /// Maximum size of a decompressed table: about 100,000 routes.
 constexpr std::size_t MaxTableBytes = 16U << 20U;
 
@@ -194,7 +199,10 @@
   const auto Table = decompress(R.element().get_binary(), MaxTableBytes);
   if (!Table)
     return tl::unexpected(Table.error());
-  return Routes{toTable(json::from_cbor(*Table))};
+  const auto Decoded = parseCborArrays(*Table, MaxNestingDepth);
+  if (!Decoded)
+    return tl::unexpected(Decoded.error());
+  return Routes{toTable(*Decoded)};
 }
 
 Expected<Message> read(unsigned Type, const json &Body) {
@@ -230,9 +238,11 @@
 }
 
 Expected<Message> decode(const Bytes &Encoded) {
+  const auto Decoded = parseCborArrays(Encoded, MaxNestingDepth);
+  if (!Decoded)
+    return tl::unexpected(Decoded.error());
   try {
-    const json J = json::from_cbor(Encoded);
-    ArrayReader R(J);
+    ArrayReader R(*Decoded);
     const auto Type = R.next<unsigned>();
     return read(Type, R.element());
   } catch (const json::exception &E) {
@@ -262,9 +272,11 @@
 }
 
 Expected<AcceptedRoutes> decodeAcceptedRoutes(const Bytes &Encoded) {
+  const auto Decoded = parseCborArrays(Encoded, MaxNestingDepth);
+  if (!Decoded)
+    return tl::unexpected(Decoded.error());
   try {
-    const json J = json::from_cbor(Encoded);
-    ArrayReader R(J);
+    ArrayReader R(*Decoded);
     AcceptedRoutes Value;
     Value.Version = R.next<std::uint64_t>();
     Value.Message = R.element().get_binary();
--- a/src/flow/load_report.cpp
+++ b/src/flow/load_report.cpp
@@ -1,4 +1,5 @@
 #include "jasminearch/flow/load_report.h"
+#include "jasminearch/cbor_input.h"
 #include <nlohmann/json.hpp>
 
 namespace jasminearch::flow {
@@ -15,8 +16,11 @@
 Expected<LoadReport> decodeLoadReport(const std::uint8_t *Data,
                                       std::size_t Size) {
   constexpr std::size_t Fields = 11;
+  const auto Decoded = parseCborArrays({Data, Size}, 1);
+  if (!Decoded)
+    return tl::unexpected(Decoded.error());
+  const json &J = *Decoded;
   try {
-    const json J = json::from_cbor(Data, Data + Size);
     if (!J.is_array() || J.size() != Fields)
       return fail(ErrorCode::MessageMalformed,
                   "load report: expected an array of 11 fields");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -121,6 +121,10 @@
   CPPUNIT_TEST(refusesTruncatedConfigurations);
   CPPUNIT_TEST(readsAHeartbeat);
   CPPUNIT_TEST(refusesMalformedHeartbeats);
+  CPPUNIT_TEST(refusesValuesOutOfRangeInHeartbeats);
+  CPPUNIT_TEST(refusesValuesOutOfRangeInConfigurations);
+  CPPUNIT_TEST(refusesDeeplyNestedDocuments);
+  CPPUNIT_TEST(boundsTheErrorsOfLongDocuments);
   CPPUNIT_TEST_SUITE_END();
 
   /// \returns the error code if \p Body is rejected as a configuration.
@@ -205,6 +209,137 @@
     }
     CPPUNIT_ASSERT(!readHeartbeat("", HeartbeatBody));
   }
+
+  /// Values that no number in a document may have.
+  const std::vector<std::string> BadNumbers = {
+      "-1",      "1.5",    "18446744073709551616",
+      "1e300",   "-1e300", "\"4\"",
+      "\"NaN\"", "null",   "[]",
+      "{}",      "true"};
+
+  /// \returns a JSON text nested to \p Depth.
+  static std::string nested(std::size_t Depth) {
+    return std::string(Depth, '[') + std::string(Depth, ']');
+  }
+
+  /// Replaces the value of \p Key, the first one in \p Body.
+  static std::string withValue(const std::string &Body, const std::string &Key,
+                               const std::string &Value) {
+    const std::string Start = "\"" + Key + "\":";
+    const std::size_t From = Body.find(Start) + Start.size();
+    const std::size_t To = Body[From] == '"'   ? Body.find('"', From + 1) + 1
+                           : Body[From] == '[' ? Body.find(']', From) + 1
+                                               : Body.find_first_of(",}", From);
+    return Body.substr(0, From) + Value + Body.substr(To);
+  }
+
+  void assertNamesTheKey(const std::optional<Error> &Refused,
+                         const std::string &Key, const std::string &Value) {
+    const std::string Case = Key + " = " + Value;
+    CPPUNIT_ASSERT_MESSAGE(Case, Refused.has_value());
+    CPPUNIT_ASSERT_MESSAGE(Case, Refused->Code == ErrorCode::DocumentMalformed);
+    CPPUNIT_ASSERT_MESSAGE(Case + ": " + Refused->Detail,
+                           Refused->Detail.find(Key) != std::string::npos);
+  }
+
+  std::optional<Error> heartbeatError(const std::string &Body) {
+    const auto H = readHeartbeat("i-1", Body);
+    return H ? std::optional<Error>() : H.error();
+  }
+
+  std::optional<Error> configurationError(const std::string &Body) {
+    const auto Table = readConfiguration(Body);
+    return Table ? std::optional<Error>() : Table.error();
+  }
+
+  /// Guards against an odd heartbeat of another writer: a number that is
+  /// converted to a different one, or that no sound heartbeat ever exceeds.
+  void refusesValuesOutOfRangeInHeartbeats() {
+    for (const char *Key :
+         {"concurrency_limit", "cold_remaining_ms", "sequence", "born"})
+      for (const std::string &Value : BadNumbers)
+        assertNamesTheKey(heartbeatError(withValue(HeartbeatBody, Key, Value)),
+                          Key, Value);
+    const std::vector<std::pair<std::string, std::string>> OutOfRange = {
+        {"concurrency_limit", "0"},
+        {"concurrency_limit", "4294967297"},
+        {"cold_remaining_ms", "9223372036854775808"},
+        {"born", "9223372036854775807"},
+        {"address", "\"10.128.0.9:0\""},
+        {"address", "\"10.128.0.9:65536\""},
+        {"address", "\"10.128.0.9:99999999999999999999\""},
+        {"service", "\"\""},
+        {"service", "\"" + std::string(1'000'000, 's') + "\""},
+        {"service", nested(100'000)},
+        {"state", nested(100'000)},
+    };
+    for (const auto &[Key, Value] : OutOfRange)
+      assertNamesTheKey(heartbeatError(withValue(HeartbeatBody, Key, Value)),
+                        Key, Value.substr(0, 40));
+    CPPUNIT_ASSERT(
+        heartbeatError(withValue(HeartbeatBody, "sequence", "1e999")));
+    CPPUNIT_ASSERT(heartbeatError(withValue(HeartbeatBody, "sequence", "NaN")));
+    CPPUNIT_ASSERT(!heartbeatError(
+        withValue(HeartbeatBody, "sequence", "18446744073709551615")));
+    CPPUNIT_ASSERT(!readHeartbeat(std::string(1'000'000, 'n'), HeartbeatBody));
+    CPPUNIT_ASSERT(!heartbeatError(HeartbeatBody));
+  }
+
+  /// Guards against a configuration in force that isn't what was sent, because
+  /// a number was cut, and against flows that go nowhere because weights add up
+  /// to infinity.
+  void refusesValuesOutOfRangeInConfigurations() {
+    CPPUNIT_ASSERT(!configurationError(Configuration));
+    for (const char *Key : {"version", "timeout_ms", "target_latency_ms",
+                            "priority", "idle_timeout_ms"})
+      for (const std::string &Value : BadNumbers)
+        assertNamesTheKey(
+            configurationError(withValue(Configuration, Key, Value)), Key,
+            Value);
+    const std::vector<std::pair<std::string, std::string>> OutOfRange = {
+        {"timeout_ms", "9223372036854775808"},
+        {"priority", "4294967296"},
+        {"weight", "1e300"},
+        {"weight", "-1"},
+        {"weight", "\"90\""},
+        {"routes", "null"},
+        {"routes", "7"},
+        {"services", "null"},
+        {"traffic_split", "null"},
+        {"path_prefix", "\"/0/\""},
+        {"path_prefix", "\"/65536/\""},
+        {"hostname", "\"" + std::string(1'000'000, '1') + "\""},
+        {"hostname", nested(100'000)},
+    };
+    for (const auto &[Key, Value] : OutOfRange) {
+      const auto Refused =
+          configurationError(withValue(Configuration, Key, Value));
+      CPPUNIT_ASSERT_MESSAGE(Key + " = " + Value.substr(0, 40),
+                             Refused.has_value());
+    }
+    CPPUNIT_ASSERT(
+        configurationError(withValue(Configuration, "weight", "1e999")));
+  }
+
+  /// Guards against processes that end because a document exhausts their stack.
+  void refusesDeeplyNestedDocuments() {
+    for (const std::string &Body :
+         {nested(100'000), std::string(100'000, '['), std::string(100'000, '{'),
+          "{\"version\":" + nested(100'000) + "}"}) {
+      CPPUNIT_ASSERT(heartbeatError(Body));
+      CPPUNIT_ASSERT(configurationError(Body));
+    }
+  }
+
+  /// Guards against responses and log lines as long as the refused document.
+  void boundsTheErrorsOfLongDocuments() {
+    const std::string Long(1'000'000, 'x');
+    for (const std::string &Body :
+         {Long, "\"" + Long, "{\"" + Long + "\":1}"}) {
+      const auto Refused = heartbeatError(Body);
+      CPPUNIT_ASSERT(Refused && Refused->Detail.size() <= 1000);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DocumentsTest);
