Store the list of agents once a full disk has room (report of other operators)

What other operators saw: disks of counted machines were full for a few seconds each, one after another; long after, changes were refused or unanswered.

Fix: the list stays due until it is stored.

Ruled out for changes: a leader that goes on with a full disk (it steps down), a proposal that comes back later (the entry is cut off or reloaded, and the operator is told 503), a voter that is removed for good while its disk is full (it returns as a learner).

--- a/src/fleet/control_agents.cpp
+++ b/src/fleet/control_agents.cpp
@@ -280,11 +280,12 @@
 }
 
 void ControlNode::saveAgents() {
-  if (!std::exchange(DirectoryChanged, false))
+  if (!DirectoryChanged)
     return;
-  const auto Saved = Store.Save(encode(allAgents()));
-  if (!Saved)
-    logError("agents_unsaved", Saved.error());
+  // A full disk may have room the next time.
+  if (const auto Saved = Store.Save(encode(allAgents())); !Saved)
+    return logError("agents_unsaved", Saved.error());
+  DirectoryChanged = false;
 }
 
 } // namespace jasminearch::fleet
--- a/tests/consensus_fakes.cpp
+++ b/tests/consensus_fakes.cpp
@@ -75,12 +75,14 @@
 
   Expected<void> truncate(const std::string &Name,
                           std::uint64_t Size) override {
+    if (Disk->Full && Disk->RefusesAll)
+      return resultOf(true);
     Disk->Files.at(Name)->Current.resize(Size);
     return {};
   }
 
   Expected<void> sync(const std::string &Name) override {
-    if (operationFails())
+    if (operationFails() || (Disk->Full && Disk->RefusesAll))
       return resultOf(true);
     auto &[Current, Durable] = *Disk->Files.at(Name);
     Durable = Current;
@@ -89,7 +91,7 @@
 
   Expected<void> rename(const std::string &From,
                         const std::string &To) override {
-    if (operationFails())
+    if (operationFails() || (Disk->Full && Disk->RefusesAll))
       return resultOf(true);
     Disk->Files[To] = Disk->Files.at(From);
     Disk->Files.erase(From);
--- a/tests/consensus_fakes.h
+++ b/tests/consensus_fakes.h
@@ -30,6 +30,8 @@
   std::uint64_t FailAt = 0;
   /// Whether every operation that needs disk space fails.
   bool Full = false;
+  /// Whether a full disk also refuses to shorten a file, and to sync it.
+  bool RefusesAll = false;
 
   /// Discards unsynced data, except for a random part of what was appended.
   void crash(std::mt19937_64 &Random);
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -78,6 +78,8 @@
     AgentStore Store;
     Store.Load = [&H]() -> Expected<Bytes> { return H.Agents; };
     Store.Save = [&H](const Bytes &Content) -> Expected<void> {
+      if (H.Disk->Full)
+        return fail(ErrorCode::StorageFull, "the fake disk is full");
       H.Agents = Content;
       return {};
     };
