--- a/standins/http_call.h
+++ b/standins/http_call.h
@@ -17,8 +17,99 @@
   std::string Body;
 };
 
-/// Sends an HTTP request and follows up to \p RedirectsLeft redirects (status
-/// 307).
+/// A connection to one server that stays open between calls, for as long as the
+/// server's process keeps it open.
+class HttpConnection {
+public:
+  explicit HttpConnection(const Endpoint &Server) : Server(Server) {}
+
+  /// Sends a request. If the server has closed the connection since the last
+  /// call, opens another one. Redirects aren't followed.
+  /// \returns nothing without a response within a second, the time limit of the
+  /// platform's callers.
+  std::optional<HttpResponse> call(const std::string &Method,
+                                   const std::string &Target,
+                                   const std::string &Body) {
+    const bool Reused = Stream.has_value();
+    auto Result = callOnce(Method, Target, Body);
+    if (!Result && Reused && !TimedOut)
+      Result = callOnce(Method, Target, Body);
+    return Result;
+  }
+
+private:
+  using ErrorCode = boost::beast::error_code;
+
+  std::optional<HttpResponse> callOnce(const std::string &Method,
+                                       const std::string &Target,
+                                       const std::string &Body) {
+    namespace http = boost::beast::http;
+    constexpr std::chrono::seconds Timeout{1};
+    const bool Connected = Stream.has_value();
+    if (!Connected)
+      Stream.emplace(Context);
+    Request = http::request<http::string_body>(http::string_to_verb(Method),
+                                               Target, 11);
+    Request.body() = Body;
+    Request.prepare_payload();
+    Response = {};
+    Buffer.clear();
+    Completed = false;
+    Stream->expires_after(Timeout);
+    if (Connected)
+      write();
+    else
+      Stream->async_connect(
+          boost::asio::ip::tcp::endpoint(
+              boost::asio::ip::address_v4(Server.Address), Server.Port),
+          [this](ErrorCode Failure) {
+            if (!ended(Failure))
+              write();
+          });
+    Context.restart();
+    Context.run();
+    if (!Completed || !Response.keep_alive())
+      Stream.reset();
+    if (!Completed)
+      return std::nullopt;
+    return HttpResponse{Response.result_int(),
+                        std::string(Response[http::field::location]),
+                        std::move(Response.body())};
+  }
+
+  void write() {
+    boost::beast::http::async_write(*Stream, Request,
+                                    [this](ErrorCode Failure, std::size_t) {
+                                      if (!ended(Failure))
+                                        read();
+                                    });
+  }
+
+  void read() {
+    boost::beast::http::async_read(*Stream, Buffer, Response,
+                                   [this](ErrorCode Failure, std::size_t) {
+                                     Completed = !ended(Failure);
+                                   });
+  }
+
+  /// Notes a failure. \returns whether there was one.
+  bool ended(ErrorCode Failure) {
+    TimedOut = Failure == boost::beast::error::timeout;
+    return Failure.failed();
+  }
+
+  Endpoint Server;
+  boost::asio::io_context Context;
+  std::optional<boost::beast::tcp_stream> Stream;
+  boost::beast::flat_buffer Buffer;
+  boost::beast::http::request<boost::beast::http::string_body> Request;
+  boost::beast::http::response<boost::beast::http::string_body> Response;
+  bool Completed = false;
+  bool TimedOut = false;
+};
+
+/// Sends an HTTP request on a connection of its own and follows up to
+/// \p RedirectsLeft redirects (status 307).
 /// \param Target path of the request.
 /// \returns nothing without a response within a second, the time limit of the
 /// platform's callers, or if a redirect names no IPv4 address.
@@ -27,50 +118,18 @@
                                                    const std::string &Target,
                                                    const std::string &Body,
                                                    int RedirectsLeft = 2) {
-  namespace beast = boost::beast;
-  namespace http = boost::beast::http;
-  using Tcp = boost::asio::ip::tcp;
-  constexpr std::chrono::seconds Timeout{1};
-  boost::asio::io_context Context;
-  beast::tcp_stream Stream(Context);
-  beast::flat_buffer Buffer;
-  http::request<http::string_body> Request(http::string_to_verb(Method), Target,
-                                           11);
-  Request.body() = Body;
-  Request.prepare_payload();
-  http::response<http::string_body> Response;
-  bool Completed = false;
-  Stream.expires_after(Timeout);
-  Stream.async_connect(
-      Tcp::endpoint(boost::asio::ip::address_v4(Server.Address), Server.Port),
-      [&](beast::error_code ConnectError) {
-        if (ConnectError)
-          return;
-        http::async_write(
-            Stream, Request, [&](beast::error_code WriteError, std::size_t) {
-              if (WriteError)
-                return;
-              http::async_read(Stream, Buffer, Response,
-                               [&](beast::error_code ReadError, std::size_t) {
-                                 Completed = !ReadError;
-                               });
-            });
-      });
-  Context.run();
-  if (!Completed)
+  auto Result = HttpConnection(Server).call(Method, Target, Body);
+  if (!Result)
     return std::nullopt;
-  HttpResponse Result{Response.result_int(),
-                      std::string(Response[http::field::location]),
-                      std::move(Response.body())};
   constexpr unsigned TemporaryRedirect = 307;
-  if (Result.Status != TemporaryRedirect || RedirectsLeft == 0)
+  if (Result->Status != TemporaryRedirect || RedirectsLeft == 0)
     return Result;
   // Location has the form http://ADDRESS:PORT/PATH. Only the host and the path
   // are used; the port stays the one of the request.
   const std::string Scheme = "http://";
-  if (Result.Location.compare(0, Scheme.size(), Scheme) != 0)
+  if (Result->Location.compare(0, Scheme.size(), Scheme) != 0)
     return std::nullopt;
-  const std::string AddressAndPath = Result.Location.substr(Scheme.size());
+  const std::string AddressAndPath = Result->Location.substr(Scheme.size());
   const std::size_t Slash = AddressAndPath.find('/');
   boost::system::error_code ParseError;
   const auto Address = boost::asio::ip::make_address_v4(
--- a/standins/jasminearch_flows.cpp
+++ b/standins/jasminearch_flows.cpp
@@ -57,6 +57,14 @@
 constexpr milliseconds ChangeInterval{700};
 constexpr int RequestsPerFlow = 40;
 
+/// Shortest time for which an upstream runs, or is down after a crash; the
+/// longest is three times as long.
+constexpr milliseconds MinUpstreamUptime{4000};
+constexpr milliseconds MinUpstreamDowntime{150};
+
+/// The clocks of upstreams are off by less than this.
+constexpr milliseconds MaxClockError{2000};
+
 struct Options {
   std::uint32_t Controls = 3;
   std::uint32_t Entries = 2;
@@ -75,6 +83,7 @@
   std::uint64_t FlowsOpened = 0;
   std::uint64_t Resets = 0;
   std::uint64_t Changes = 0;
+  std::uint64_t UpstreamRestarts = 0;
   // Must be zero.
   std::uint64_t RanTwice = 0;
   std::uint64_t Altered = 0;
@@ -161,10 +170,17 @@
 }
 
 /// A simulated upstream with the flows that it holds, each with the sequence
-/// number that it chose.
+/// number that it chose. Now and then it crashes and starts again.
 struct Upstream {
   std::uint32_t Number = 0;
   std::size_t Service = 0;
+  bool Running = true;
+  /// When it crashes, or starts again.
+  Clock::time_point ChangeDue{};
+  /// Start time by the upstream's clock, which may be wrong, and the number of
+  /// the last heartbeat. Guarded by UpstreamsMutex.
+  std::int64_t StartedMilliseconds = 0;
+  std::uint64_t HeartbeatNumber = 0;
   net::UdpSocket Socket;
   /// Listens at the address where the platform's upstreams answer health
   /// checks. Connections are accepted and closed at once.
@@ -198,6 +214,8 @@
       U.Number = I;
       U.Service = I % 2;
       U.Socket = bindSocket({AgentNetwork + I, UpstreamPort});
+      U.StartedMilliseconds = wallClockMilliseconds();
+      U.ChangeDue = Clock::now() + randomTime(MinUpstreamUptime);
       U.HealthListener = listenTcp({AgentNetwork + I, UpstreamPort});
       Upstreams.push_back(std::move(U));
     }
@@ -234,6 +252,39 @@
     return std::move(*Socket);
   }
 
+  static std::int64_t wallClockMilliseconds() {
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  }
+
+  /// \returns a random time from \p Min to three times \p Min.
+  milliseconds randomTime(milliseconds Min) {
+    return Min + milliseconds(Random() % (2 * Min.count()));
+  }
+
+  /// Lets an upstream crash, or start again with a clock that is off by up to
+  /// MaxClockError.
+  void changeUpstream(Upstream &U) {
+    U.Running = !U.Running;
+    U.Flows.clear();
+    if (!U.Running) {
+      U.HealthListener.reset();
+      U.ChangeDue = Clock::now() + randomTime(MinUpstreamDowntime);
+    } else {
+      U.HealthListener = listenTcp({AgentNetwork + U.Number, UpstreamPort});
+      U.ChangeDue = Clock::now() + randomTime(MinUpstreamUptime);
+      ++Totals.UpstreamRestarts;
+    }
+    const std::lock_guard<std::mutex> LockGuard(UpstreamsMutex);
+    U.HeartbeatNumber = 0;
+    U.StartedMilliseconds =
+        U.Running ? wallClockMilliseconds() - MaxClockError.count() +
+                        static_cast<std::int64_t>(Random() %
+                                                  (2 * MaxClockError.count()))
+                  : 0;
+  }
+
   std::unique_ptr<boost::asio::ip::tcp::acceptor> listenTcp(const Endpoint &E) {
     using Tcp = boost::asio::ip::tcp;
     auto Acceptor = std::make_unique<Tcp::acceptor>(
@@ -279,13 +330,19 @@
                              Incoming.datagram(K));
       }
     }
-    for (Upstream &U : Upstreams)
-      answerHealthChecks(U);
+    for (Upstream &U : Upstreams) {
+      if (Clock::now() >= U.ChangeDue)
+        changeUpstream(U);
+      if (U.Running)
+        answerHealthChecks(U);
+    }
     for (Caller &C : Callers)
       advanceFlow(C);
   }
 
   void handleUpstreamPacket(Upstream &U, absl::Span<const std::uint8_t> Raw) {
+    if (!U.Running)
+      return;
     const auto P = decode(Raw);
     if (!P || !hasValidChecksum(Raw)) {
       ++Totals.Altered;
@@ -346,8 +403,13 @@
       return;
     if ((P->Flags & Rst) != 0) {
       ++Totals.Resets;
-      if (C.FlowState == Caller::Open && isHeldByAnUpstream(C))
+      if (C.FlowState == Caller::Open && isHeldByAnUpstream(C)) {
         ++Totals.LiveFlowsReset;
+        std::cerr << "live flow reset: "
+                  << toString(Endpoint{C.Address, C.Port}) << " to "
+                  << toString(Services[C.Service]) << " at "
+                  << wallClockMilliseconds() << " ms\n";
+      }
       return close(C);
     }
     if (!hasValidChecksum(Raw)) {
@@ -385,13 +447,18 @@
 
   /// Chooses an entry host as the platform's routers do: the same one as before
   /// in most cases, and another one if it isn't ready or with a chance of one
-  /// in PacketsPerEntryChange.
+  /// in PacketsPerEntryChange. Every second caller keeps its entry host until
+  /// that doesn't react any more, whether it is ready or not.
   Endpoint chooseEntry(Caller &C) {
     const std::lock_guard<std::mutex> LockGuard(ReadyEntriesMutex);
     constexpr std::uint64_t PacketsPerEntryChange = 20;
-    const bool ChangeEntry = Random() % PacketsPerEntryChange == 0;
-    if ((ChangeEntry || !ReadyEntries.contains(C.Entry)) &&
-        !ReadyEntries.empty())
+    constexpr std::uint32_t MaxTransmissionsToOneEntry = 2;
+    const bool Stays = C.Address % 2 == 0 && C.Entry != 0;
+    const bool Chance = Random() % PacketsPerEntryChange == 0;
+    const bool ChangeEntry = Stays
+                                 ? C.Transmissions >= MaxTransmissionsToOneEntry
+                                 : Chance || !ReadyEntries.contains(C.Entry);
+    if (ChangeEntry && !ReadyEntries.empty())
       C.Entry = *std::next(
           ReadyEntries.begin(),
           static_cast<std::ptrdiff_t>(Random() % ReadyEntries.size()));
@@ -460,29 +527,40 @@
         .dump();
   }
 
-  void sendHeartbeats(std::uint64_t HeartbeatNumber,
-                      std::int64_t StartedMilliseconds) {
-    for (const Upstream &U : Upstreams) {
-      const Endpoint Agent{AgentNetwork + U.Number, ApiPort};
-      const nlohmann::json Body = {
+  /// \returns the response to a call on a connection that stays open.
+  std::optional<standins::HttpResponse> call(const std::string &Method,
+                                             const Endpoint &Server,
+                                             const std::string &Target,
+                                             const std::string &Body) {
+    return Connections.try_emplace(Server, Server)
+        .first->second.call(Method, Target, Body);
+  }
+
+  void sendHeartbeats() {
+    for (Upstream &U : Upstreams) {
+      nlohmann::json Body = {
           {"service", ServiceNames[U.Service]},
           {"address",
            toString(Endpoint{AgentNetwork + U.Number, UpstreamPort})},
           {"concurrency_limit", 8},
           {"state", "ready"},
-          {"cold_remaining_ms", 0},
-          {"sequence", HeartbeatNumber},
-          {"born", StartedMilliseconds}};
-      standins::sendHttpRequest("PUT", Agent,
-                                "/instances/i-" + std::to_string(U.Number),
-                                Body.dump());
+          {"cold_remaining_ms", 0}};
+      {
+        const std::lock_guard<std::mutex> LockGuard(UpstreamsMutex);
+        if (U.StartedMilliseconds == 0)
+          continue;
+        Body["sequence"] = ++U.HeartbeatNumber;
+        Body["born"] = U.StartedMilliseconds;
+      }
+      call("PUT", {AgentNetwork + U.Number, ApiPort},
+           "/instances/i-" + std::to_string(U.Number), Body.dump());
     }
   }
 
   void updateReadyEntries() {
     for (std::uint32_t I = 1; I <= Settings.Entries; ++I) {
-      const auto Response = standins::sendHttpRequest(
-          "GET", {EntryNetwork + I, ReadyPort}, "/ready", "");
+      const auto Response =
+          call("GET", {EntryNetwork + I, ReadyPort}, "/ready", "");
       const std::lock_guard<std::mutex> LockGuard(ReadyEntriesMutex);
       if (Response && Response->Status == 200)
         ReadyEntries.insert(I);
@@ -515,11 +593,6 @@
   }
 
   void runPlatformCalls() {
-    const std::int64_t StartedMilliseconds =
-        std::chrono::duration_cast<milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count();
-    std::uint64_t HeartbeatNumber = 0;
     std::uint64_t Version = 0;
     Clock::time_point HeartbeatDue{};
     Clock::time_point ReadyDue{};
@@ -528,7 +601,7 @@
       const auto Now = Clock::now();
       if (Now >= HeartbeatDue) {
         HeartbeatDue = Now + HeartbeatInterval;
-        sendHeartbeats(++HeartbeatNumber, StartedMilliseconds);
+        sendHeartbeats();
       }
       if (Now >= ReadyDue) {
         ReadyDue = Now + ReadyInterval;
@@ -554,6 +627,9 @@
   std::uint64_t AcknowledgedVersion = 0;
   net::ReceiveBatch Incoming;
   net::SendBatch Outgoing;
+  /// Used by PlatformThread.
+  std::map<Endpoint, standins::HttpConnection> Connections;
+  std::mutex UpstreamsMutex;
   std::mutex ReadyEntriesMutex;
   /// Numbers of the entry hosts that the routers send packets to. Guarded by
   /// ReadyEntriesMutex.
@@ -573,6 +649,7 @@
       {"flows_opened", Totals.FlowsOpened},
       {"resets", Totals.Resets},
       {"changes", Totals.Changes},
+      {"upstream_restarts", Totals.UpstreamRestarts},
       {"ran_twice", Totals.RanTwice},
       {"altered", Totals.Altered},
       {"misdelivered", Totals.Misdelivered},
--- a/tests/fleet_agents_test.cpp
+++ b/tests/fleet_agents_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet_world.h"
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
@@ -189,7 +190,7 @@
       W->run(1s);
       for (int Step = 0; Step < 60; ++Step) {
         I.act();
-        W->run(std::chrono::milliseconds(10 * I.number(60)));
+        W->run(std::chrono::milliseconds(10) * I.number(60));
       }
       I.heal();
       // Agents that ended without a word count as departed after their
@@ -204,10 +205,11 @@
       CPPUNIT_ASSERT_MESSAGE(Name, W->leader());
       const std::set<Endpoint> Expected = tunnels(*W, I.Listed);
       for (const std::string &Host : I.Controls)
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(Name + " " + Host, Expected.size(),
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(absl::StrCat(Name, " ", Host),
+                                     Expected.size(),
                                      W->Controls.at(Host).Node->agents());
       for (const char *Host : {"10.0.1.1", "10.0.1.2"})
-        CPPUNIT_ASSERT_MESSAGE(Name + " " + Host,
+        CPPUNIT_ASSERT_MESSAGE(absl::StrCat(Name, " ", Host),
                                W->Daemons.at(Host).ListedAgents == Expected);
     }
   }
--- a/tests/fleet_storage_test.cpp
+++ b/tests/fleet_storage_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet_world.h"
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
 
@@ -131,7 +132,8 @@
     W->run(1s);
     CPPUNIT_ASSERT_MESSAGE(Name, W->leader());
     for (const std::string &Host : ThreeHosts)
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(Name + " " + Host, O.lastVersion(),
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(absl::StrCat(Name, " ", Host),
+                                   O.lastVersion(),
                                    W->Controls.at(Host).Node->version());
     const ReadResult Read = W->read(W->leaderName());
     const auto *Current = std::get_if<CurrentRoutes>(&Read);
@@ -157,7 +159,8 @@
         W->Controls.at(Host).Disk->RefusesAll = Seed % 2 == 0;
       Operator O(*W, Seed);
       for (int Turn = 0; Turn < 6; ++Turn) {
-        const std::string Host = ThreeHosts[static_cast<std::size_t>(Turn) % 3];
+        const std::string &Host =
+            ThreeHosts[static_cast<std::size_t>(Turn) % 3];
         W->Controls.at(Host).Disk->Full = true;
         runWithChanges(O, std::chrono::milliseconds(500 + 100 * Number(45)));
         if (Number(4) == 0) {
@@ -179,7 +182,7 @@
     for (std::uint64_t Step = 1; Step <= 90; ++Step) {
       begin();
       Operator O(*W, Step);
-      const std::string Host = ThreeHosts[Step % 3];
+      const std::string &Host = ThreeHosts[Step % 3];
       const std::shared_ptr<FakeDisk> Disk = W->Controls.at(Host).Disk;
       Disk->FailAt = Disk->Operations + Step;
       // Enough entries for a snapshot.
