Ask agents that become known during a search

Cause, from the logs: an upstream had crashed and returned, and its agent was listed again at 05:25:03.569. Entry host e20 was linked to a control host that was paused, and got the list from another one at 04.244. A search of e20 for a flow that was placed on this agent at 03.914 ended at 04.457 with "no upstream holds the flow": it asked the agents that were known when it began.

Fix: an agent that becomes known is added to the running searches.

The service of an agent that has just restarted stays listed as before until the agent knows it: its new records without a service replaced the earlier one.

Tests: EntryFlowsTest::asksAgentsThatBecomeKnownDuringASearch, FleetAgentsTest::keepsTheServiceOfAnAgentThatRestarts; both fail without the change.

--- a/src/fleet/control_agents.cpp
+++ b/src/fleet/control_agents.cpp
@@ -29,6 +29,11 @@
     if (R.Tunnel != L.From.Tunnel)
       continue;
     R.ControlHost = Options.Host;
+    // An agent that has just restarted doesn't know its upstream's service yet;
+    // mostly it is the one of before.
+    const DirectoryEntry *Held = find(Directory, R.Tunnel);
+    if (Held && !Held->Record.Departed && R.ServiceTag == 0)
+      R.ServiceTag = Held->Record.ServiceTag;
     L.Statement = std::move(R);
     confirmStatement(Id, L);
     // Acknowledges the departure.
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -142,8 +142,11 @@
     E.CompleteListAt = Now;
   }
   for (const ListedAgent &Agent : Listed) {
-    E.Agents[Agent.Tunnel].KnownAt = Now;
+    const auto [It, New] = E.Agents.try_emplace(Agent.Tunnel);
+    It->second.KnownAt = Now;
     setService(E, Agent.Tunnel, Agent.ServiceTag);
+    if (New)
+      extendSearches(E, Agent.Tunnel);
   }
 }
 
--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -233,6 +233,13 @@
     S.HeldPackets.emplace_back(Raw.begin(), Raw.end());
 }
 
+void extendSearches(EntryFlows &E, const Endpoint &Agent) {
+  for (auto &[Flow, S] : E.Searches)
+    if (!contains(S.NotQueried, Agent) && !contains(S.NotAnswered, Agent) &&
+        !contains(S.Tried, Agent) && !contains(S.Unsure, Agent))
+      S.NotQueried.push_back(Agent);
+}
+
 void startSearch(EntryContext &C, const Packet &P,
                  absl::Span<const std::uint8_t> Raw,
                  const std::vector<Endpoint> &Excluded) {
--- a/tests/fleet_agents_test.cpp
+++ b/tests/fleet_agents_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(learnsOfADepartureToldToACutOffHost);
   CPPUNIT_TEST(tellsADepartureOnceALinkOpens);
   CPPUNIT_TEST(messagesForAChangeGrowWithTheHosts);
+  CPPUNIT_TEST(keepsTheServiceOfAnAgentThatRestarts);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<FleetWorld> W;
@@ -257,6 +258,24 @@
     CPPUNIT_ASSERT(!Agent.Client->linked());
   }
 
+  /// Guards against entry hosts that place no flows on an agent that restarts
+  /// beside a running upstream until that announces itself again.
+  void keepsTheServiceOfAnAgentThatRestarts() {
+    begin();
+    for (int Restart = 0; Restart < 6; ++Restart) {
+      Daemon &Agent = W->startDaemon("10.0.2.1", Role::Agent);
+      W->run(1s);
+      if (Restart == 0)
+        Agent.Client->setServiceTag(7);
+      W->run(1s);
+      Daemon &Entry = W->startDaemon("10.0.1.1", Role::Entry);
+      W->run(1s);
+      CPPUNIT_ASSERT_EQUAL(7U, Entry.ServiceTags.begin()->second);
+      W->kill("10.0.1.1");
+      W->kill("10.0.2.1");
+    }
+  }
+
   /// Guards against messages for each change that grow with the square of the
   /// number of control hosts.
   void messagesForAChangeGrowWithTheHosts() {
--- a/tests/flow_entry_test.cpp
+++ b/tests/flow_entry_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(findsAFlowThatAnotherHostPlaced);
   CPPUNIT_TEST(resetsAFlowThatNoUpstreamHolds);
   CPPUNIT_TEST(doesNotResetBeforeEveryAgentAnswered);
+  CPPUNIT_TEST(asksAgentsThatBecomeKnownDuringASearch);
   CPPUNIT_TEST(queriesASilentAgentAgain);
   CPPUNIT_TEST(endsASearchWhenAnAgentLeaves);
   CPPUNIT_TEST(waitsForAnAgentThatNeverReported);
@@ -497,6 +498,21 @@
                          effectsOfType<SendReset>(Out).at(0).Value.Sequence);
   }
 
+  /// Guards against a reset of an open flow whose agent became known while the
+  /// flow was searched for.
+  void asksAgentsThatBecomeKnownDuringASearch() {
+    begin(1);
+    packet(data(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queries().size());
+    addListedAgents(E, {{agentAt(2), serviceTag("orders")}}, false, Now);
+    answer(1, 1, FlowPresence::No);
+    CPPUNIT_ASSERT(!wasReset());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queries().size());
+    CPPUNIT_ASSERT(queries().at(0).To == agentAt(2));
+    answer(2, 1, FlowPresence::Yes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwards(Out).size());
+  }
+
   /// Guards against resetting a live flow while its agent restarts.
   void doesNotResetBeforeEveryAgentAnswered() {
     begin(2);
