--- a/include/jasminearch/flow/detail/entry_steps.h
+++ b/include/jasminearch/flow/detail/entry_steps.h
@@ -63,8 +63,8 @@
 void startSearch(EntryContext &C, const Packet &P,
                  absl::Span<const std::uint8_t> Raw,
                  const std::vector<Endpoint> &Excluded);
-/// Adds an agent that has just become known to all running searches: it may hold
-/// one of the flows.
+/// Adds an agent that has just become known to all running searches: it may
+/// hold one of the flows.
 void extendSearches(EntryFlows &E, const Endpoint &Agent);
 /// Holds another packet of a flow that is being searched for.
 void holdPacket(Search &S, const Packet &P, absl::Span<const std::uint8_t> Raw);
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(isListedOnlyWithAnUpstream);
   CPPUNIT_TEST(checksTheUpstreamWhenItStops);
   CPPUNIT_TEST(neverDeniesFlowsOfAnUpstreamThatIsLate);
+  CPPUNIT_TEST(neverDeniesFlowsThatAnEarlierRunMayHaveOpened);
   CPPUNIT_TEST(keepsAFlowWhoseOpeningCopyIsReturned);
   CPPUNIT_TEST(keepsFlowsOpenedBeforeTheFirstAnnouncement);
   CPPUNIT_TEST(knowsThatNothingListensBeforeTheFirstAnnouncement);
@@ -93,14 +94,15 @@
     return U;
   }
 
-  /// Sets up an agent that restarted beside a running upstream, or one that has
-  /// heard its upstream's first announcement.
+  /// Sets up an agent that restarted beside a running upstream, or one that was
+  /// there before its upstream and has heard the first announcement.
   void begin(bool HeardFirstAnnouncement = false) {
     A = {};
     A.Options.RunId = 0xBEEF;
     A.Options.Codec = codec();
     A.Options.ListensWhileRunning = true;
     A.StartedAt = Now;
+    A.FoundNothingListening = HeardFirstAnnouncement;
     Number = HeardFirstAnnouncement ? 0 : 5;
     announce(A, announced(), Now);
     Out.clear();
@@ -523,6 +525,23 @@
     CPPUNIT_ASSERT(!mustBeListed(A, Now));
   }
 
+  /// Guards against a reset of open flows: an upstream accepted them before its
+  /// first announcement, through a run of the agent that ended meanwhile.
+  void neverDeniesFlowsThatAnEarlierRunMayHaveOpened() {
+    const auto PresenceAfterStart = [this](Duration Uptime, bool FoundNothing) {
+      begin();
+      A.Upstream.reset();
+      A.StartedAt = Now - Uptime;
+      A.FoundNothingListening = FoundNothing;
+      announce(A, start("i-1", 1000, FirstAnnouncementNumber), Now);
+      return located(7);
+    };
+    CPPUNIT_ASSERT(PresenceAfterStart(100ms, false) == FlowPresence::Unsure);
+    CPPUNIT_ASSERT(PresenceAfterStart(100ms, true) == FlowPresence::No);
+    CPPUNIT_ASSERT(PresenceAfterStart(UnannouncedFlowWindow, false) ==
+                   FlowPresence::No);
+  }
+
   /// Guards against reading late announcements as the absence of an upstream:
   /// an agent that has restarted may not hear its upstream for seconds.
   void neverDeniesFlowsOfAnUpstreamThatIsLate() {
