Ignore copies of an announcement after the upstream has withdrawn

A late copy of an upstream's last announcement, which arrives after its withdrawal, made the upstream count as running until its lease ended: the copy had the number in force, and only lower numbers counted as outdated. Now a number must be higher; a copy of the announcement in force changes nothing.

--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -505,7 +505,7 @@
   // A copy of the announcement in force changes nothing.
   if (Value == *A.Upstream && !upstreamGone(A))
     return AnnouncementResult::Accepted;
-  const bool IsNewer = Start == Current ? Value.Number >= A.Upstream->Number
+  const bool IsNewer = Start == Current ? Value.Number > A.Upstream->Number
                                         : isSuccessor(A, Start);
   if (!IsNewer && !winsContest(A, Value, Now)) {
     ++A.Counters.AnnouncementsOutdated;
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -307,7 +307,8 @@
     CPPUNIT_ASSERT(acceptsNewFlows(A, serviceTag("catalogue"), Now));
   }
 
-  /// Guards against a lease that old copies of one announcement renew.
+  /// Guards against a lease that old copies of one announcement renew, and
+  /// against copies that bring back an upstream that has withdrawn.
   void copiesOfAnAnnouncementChangeNothing() {
     begin();
     const AnnouncedUpstream Value = announced();
@@ -315,6 +316,12 @@
     Now += A.Options.Lease;
     CPPUNIT_ASSERT(announce(A, Value, Now) == AnnouncementResult::Accepted);
     CPPUNIT_ASSERT(!acceptsNewFlows(A, serviceTag("orders"), Now));
+    withdraw(A, Value.Name);
+    CPPUNIT_ASSERT(announce(A, Value, Now) == AnnouncementResult::Outdated);
+    CPPUNIT_ASSERT(upstreamGone(A));
+    CPPUNIT_ASSERT(announce(A, announced(), Now) ==
+                   AnnouncementResult::Accepted);
+    CPPUNIT_ASSERT(!upstreamGone(A));
   }
 
   /// Guards against openings that reach the successor at the upstream's
