Search for lost flows in rounds that all searches share

Cause: after a loss of power each search asked 4, 16, 64 and then all agents, one wave after the other, and a silent agent held up all later waves. On the large deployment about 900 searches of ten entry hosts expired in four seconds and told their callers nothing; queries and answers of one flow that no upstream holds take 28 KB of a link of 262 KB/s. Change: queries leave in rounds, spaced by the agents asked, so that one query to an agent serves all searches; after the first wave of many searches, or after recent losses, all agents are asked at once; a silent agent no longer holds up the next wave; packets for agents that are unsure go to groups of growing size. An agent whose upstream was draining before the control hosts started, and that nobody has heard from since, counts as gone after 500 ms of silence; control hosts don't name such agents yet.

--- a/include/jasminearch/flow/detail/entry_steps.h
+++ b/include/jasminearch/flow/detail/entry_steps.h
@@ -34,8 +34,9 @@
 void sendMessage(EntryContext &C, const Endpoint &Agent, TunnelKind Kind,
                  const Bytes &Payload);
 /// \returns whether there is evidence from \p Since or later that the upstream
-/// beside \p Agent holds no flows: the agent reported so, or a control host
-/// reported that the agent has left. The age of a report is no evidence.
+/// beside \p Agent holds no flows: the agent reported so, a control host
+/// reported that the agent has left, or an agent with AgentView::Unheard stays
+/// silent. The age of a report is no evidence.
 bool holdsNoFlows(const EntryContext &C, const Endpoint &Agent,
                   TimePoint Since);
 
@@ -81,7 +82,7 @@
 /// Repeats queries that haven't been answered, and ends searches that took too
 /// long.
 void tickSearches(EntryContext &C);
-/// Sends the queued queries.
+/// Sends the queued queries if the next round is due.
 void flushQueries(EntryContext &C);
 
 // entry_budget.cpp
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -83,6 +83,26 @@
 inline constexpr std::size_t FirstWaveSize = CandidatesPerFlow;
 inline constexpr std::size_t WaveGrowthFactor = 4;
 
+/// Bytes of a query for a few flows and its answer, headers included. The time
+/// between two rounds of queries follows from this, so that queries and answers
+/// together take at most twice the rate of queries.
+inline constexpr std::size_t QueryRoundBytes = 170;
+
+/// Rounds that together take less than this follow each other without a pause,
+/// so that the waves of a single search aren't delayed.
+inline constexpr std::chrono::milliseconds QueryRoundTolerance{20};
+
+/// If the last MinSearchesForFlowList flows that no upstream held were lost
+/// within this time, searches query all agents at once: most flows that are
+/// searched for then are lost as well, and one round serves all of them.
+inline constexpr std::chrono::milliseconds MassLossWindow{3000};
+
+/// An agent with AgentView::Unheard that leaves queries unanswered for this
+/// long counts as gone with its upstream. An agent that restarts at the same
+/// time as this host answers earlier: this host needs longer to receive routes
+/// and the agent list.
+inline constexpr std::chrono::milliseconds UnheardAgentTimeout{500};
+
 /// A search fails after this time. Callers retransmit after up to 1.6 s, so an
 /// agent that is just restarting still ends the search in time.
 inline constexpr std::chrono::milliseconds SearchTimeout{2000};
@@ -144,6 +164,10 @@
   /// Where the agent's host stands; empty if unknown.
   std::string DataCentre = {};
   std::string Region = {};
+  /// The upstream was draining when the control hosts stored the agent, and
+  /// none of them has heard from the agent since they started. A supervisor
+  /// doesn't restart what was being taken out of service.
+  bool Unheard = false;
 
   auto operator<=>(const ListedAgent &) const = default;
 };
@@ -155,6 +179,12 @@
   /// As listed; empty if unknown.
   std::string DataCentre;
   std::string Region;
+  /// The agent has sent a datagram since this host started.
+  bool HeardFrom = false;
+  /// As listed, unless HeardFrom.
+  bool Unheard = false;
+  /// When the first unanswered query was sent.
+  std::optional<TimePoint> QueriedSince;
   std::optional<LoadReport> Report;
   TimePoint ReportedAt{};
   /// When the agent was last listed by the control hosts or sent a report.
@@ -226,6 +256,7 @@
   std::size_t TriedPacketIndex = 0;
   /// Agents that answered Unsure and will be sent a packet.
   std::vector<Endpoint> Unsure;
+  std::size_t TryGroupSize = FirstWaveSize;
   std::vector<Bytes> HeldPackets;
   std::uint32_t Acknowledged = 0;
   bool ResetSeen = false;
@@ -292,6 +323,13 @@
   /// Bytes that queries may take now; negative after a large datagram.
   double QueryBudget = MaxQueryBurstBytes;
   TimePoint QueryBudgetAt{};
+  /// When the next round of queries may be sent.
+  TimePoint QueryRoundDue{};
+  /// When the last flows were lost that no upstream held, the latest last; at
+  /// most MinSearchesForFlowList.
+  std::deque<TimePoint> RecentLosses;
+  /// Agents with AgentView::Unheard that searches wait for.
+  std::vector<Endpoint> UnheardAgents;
   std::uint32_t LastFlowListRequestId = 0;
   /// The host's own data centre; empty if unknown.
   std::string DataCentre;
@@ -372,7 +410,7 @@
               absl::Span<const std::uint8_t> Datagram, TimePoint Now,
               EntryEffects &Out);
 
-/// Sends queued queries as far as QueryBytesPerSecond allows, and places
+/// Sends queued queries in rounds as far as QueryBytesPerSecond allows, and places
 /// uploads that waited for a share of the link; must be called after each batch
 /// of datagrams and each tick.
 /// Queries for several flows share one datagram per agent. If an agent holds
--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -17,6 +17,9 @@
 /// Ends a search after all agents answered that they don't hold the flow.
 void failSearch(EntryContext &C, const FlowKey &Flow, const Search &S) {
   ++C.E.Counters.FoundNowhere;
+  C.E.RecentLosses.push_back(C.Now);
+  if (C.E.RecentLosses.size() > MinSearchesForFlowList)
+    C.E.RecentLosses.pop_front();
   recordDecision(C, "flow_lost", Flow, "no upstream holds the flow");
   if (!S.ResetSeen)
     sendReset(C, Flow, S.Acknowledged);
@@ -53,10 +56,27 @@
 void completeSearch(EntryContext &C, const FlowKey &Flow,
                     const Endpoint &Agent);
 
+/// \returns whether so many flows were lost recently that a search is expected
+/// to find nothing.
+bool afterMassLoss(const EntryContext &C) {
+  const auto &Losses = C.E.RecentLosses;
+  return Losses.size() >= MinSearchesForFlowList &&
+         C.Now - Losses.front() < MassLossWindow;
+}
+
+/// \returns the number of agents that the next wave of \p S queries.
+std::size_t nextWaveSize(const EntryContext &C, const Search &S) {
+  const bool First = S.WaveSize == FirstWaveSize;
+  const bool All = afterMassLoss(C) ||
+                   (!First && C.E.Searches.size() >= MinSearchesForFlowList);
+  return All ? S.NotQueried.size()
+             : std::min(S.WaveSize, S.NotQueried.size());
+}
+
 /// Queries the next wave of agents, except those whose flow list already has
 /// the answer.
 void queryNextWave(EntryContext &C, const FlowKey &Flow, Search &S) {
-  const std::size_t Count = std::min(S.WaveSize, S.NotQueried.size());
+  const std::size_t Count = nextWaveSize(C, S);
   const std::vector<Endpoint> Wave(S.NotQueried.rbegin(),
                                    S.NotQueried.rbegin() +
                                        static_cast<std::ptrdiff_t>(Count));
@@ -78,6 +98,25 @@
     advanceSearch(C, Flow);
 }
 
+/// Sends the caller's packet to the agents that answered Unsure, those that
+/// rank first first. Groups limit the copies: after a restart of all agents,
+/// each of them is unsure.
+void tryNextGroup(EntryContext &C, const FlowKey &Flow, Search &S) {
+  const std::uint64_t Hash = hashFlow(Flow);
+  std::sort(S.Unsure.begin(), S.Unsure.end(),
+            [Hash](const Endpoint &X, const Endpoint &Y) {
+              return rendezvousRank(X, Hash) > rendezvousRank(Y, Hash);
+            });
+  const auto Count = static_cast<std::ptrdiff_t>(
+      std::min(S.TryGroupSize, S.Unsure.size()));
+  S.TryGroupSize *= WaveGrowthFactor;
+  S.Tried.assign(S.Unsure.begin(), S.Unsure.begin() + Count);
+  S.Unsure.erase(S.Unsure.begin(), S.Unsure.begin() + Count);
+  S.TriedPacketIndex = S.HeldPackets.size() - 1;
+  for (const Endpoint &Agent : S.Tried)
+    forward(C, Agent, S.HeldPackets.back());
+}
+
 bool hasTarget(const Route &R, std::uint32_t ServiceTag) {
   return std::any_of(R.Targets.begin(), R.Targets.end(),
                      [ServiceTag](const RouteTarget &T) {
@@ -191,15 +230,22 @@
 }
 
 /// Queries \p Agent for those of \p Queued that are still searched for.
-void sendQueries(EntryContext &C, const Endpoint &Agent,
+/// \returns whether there are any.
+bool sendQueries(EntryContext &C, const Endpoint &Agent,
                  const absl::flat_hash_set<FlowKey> &Queued) {
   std::vector<FlowKey> Flows;
   for (const FlowKey &Flow : Queued)
     if (C.E.Searches.contains(Flow))
       Flows.push_back(Flow);
+  if (Flows.empty())
+    return false;
+  if (const auto It = C.E.Agents.find(Agent);
+      It != C.E.Agents.end() && !It->second.QueriedSince)
+    It->second.QueriedSince = C.Now;
   if (isListSmaller(C.E, Agent, Flows.size())) {
     C.E.QueryBudget -= QueryOverheadBytes;
-    return requestFlowList(C, Agent);
+    requestFlowList(C, Agent);
+    return true;
   }
   for (std::size_t From = 0; From < Flows.size(); From += MaxFlowsPerDatagram) {
     const std::size_t To = std::min(Flows.size(), From + MaxFlowsPerDatagram);
@@ -210,6 +256,51 @@
         static_cast<double>(QueryOverheadBytes + Part.size() * FlowKeyBytes);
     sendMessage(C, Agent, TunnelKind::Locate, encodeFlowKeys(Part));
   }
+  return true;
+}
+
+/// Takes the next step of a search that needn't wait for more answers: sends a
+/// packet to agents that answered Unsure, or queries the next wave.
+void takeNextStep(EntryContext &C, const FlowKey &Flow, Search &S) {
+  if (S.Tried.empty() && !S.Unsure.empty())
+    return tryNextGroup(C, Flow, S);
+  if (!S.NotQueried.empty())
+    queryNextWave(C, Flow, S);
+}
+
+/// Continues a search whose retry is due, also without the answers of agents
+/// that are silent: another one may hold the flow.
+void continueAtRetry(EntryContext &C, const FlowKey &Flow) {
+  const auto It = C.E.Searches.find(Flow);
+  if (It == C.E.Searches.end())
+    return;
+  if (It->second.NotAnswered.empty())
+    return advanceSearch(C, Flow);
+  takeNextStep(C, Flow, It->second);
+}
+
+/// Ends the wait for agents that count as gone because they stay silent.
+void dropUnheardAgents(EntryContext &C) {
+  std::vector<Endpoint> Gone;
+  std::erase_if(C.E.UnheardAgents, [&](const Endpoint &Agent) {
+    const auto It = C.E.Agents.find(Agent);
+    if (It == C.E.Agents.end() || !It->second.Unheard)
+      return true;
+    if (holdsNoFlows(C, Agent, C.Now))
+      Gone.push_back(Agent);
+    return !Gone.empty() && Gone.back() == Agent;
+  });
+  for (const Endpoint &Agent : Gone) {
+    recordDecision(C, "agent_presumed_gone", {},
+                   "it hasn't been heard from since its upstream drained",
+                   Agent);
+    std::vector<FlowKey> Waiting;
+    for (const auto &[Flow, S] : C.E.Searches)
+      if (contains(S.NotAnswered, Agent))
+        Waiting.push_back(Flow);
+    for (const FlowKey &Flow : Waiting)
+      onLocated(C, Agent, FlowPresence::No, Flow);
+  }
 }
 
 } // namespace
@@ -219,18 +310,11 @@
   if (It == C.E.Searches.end() || !It->second.NotAnswered.empty())
     return;
   Search &S = It->second;
-  if (!S.Unsure.empty()) {
-    S.Tried = std::exchange(S.Unsure, {});
-    S.TriedPacketIndex = S.HeldPackets.size() - 1;
-    for (const Endpoint &Agent : S.Tried)
-      forward(C, Agent, S.HeldPackets.back());
-    return;
-  }
-  if (!S.Tried.empty())
+  if (S.Unsure.empty() && !S.Tried.empty())
     return;
-  if (S.NotQueried.empty())
+  if (S.Unsure.empty() && S.NotQueried.empty())
     return failSearch(C, Flow, S);
-  queryNextWave(C, Flow, S);
+  takeNextStep(C, Flow, S);
 }
 
 void holdPacket(Search &S, const Packet &P,
@@ -300,8 +384,9 @@
 }
 
 void tickSearches(EntryContext &C) {
+  dropUnheardAgents(C);
   std::vector<FlowKey> Expired;
-  std::vector<FlowKey> Answered;
+  std::vector<FlowKey> Due;
   for (auto &[Flow, S] : C.E.Searches) {
     if (C.Now - S.StartedAt >= SearchTimeout) {
       Expired.push_back(Flow);
@@ -314,17 +399,16 @@
     S.RetryDue = C.Now + S.RetryInterval;
     // Query the agents again whose upstream didn't react to the packet: by now
     // the agent may know that the upstream is gone.
-    if (S.NotAnswered.empty())
-      S.NotAnswered = std::exchange(S.Tried, {});
+    S.NotAnswered.insert(S.NotAnswered.end(), S.Tried.begin(), S.Tried.end());
+    S.Tried.clear();
     std::erase_if(S.NotAnswered, [&C, &S = S](const auto &A) {
       return holdsNoFlows(C, A, S.StartedAt);
     });
     queueQueries(C, Flow, S);
-    if (S.NotAnswered.empty())
-      Answered.push_back(Flow);
+    Due.push_back(Flow);
   }
-  for (const FlowKey &Flow : Answered)
-    advanceSearch(C, Flow);
+  for (const FlowKey &Flow : Due)
+    continueAtRetry(C, Flow);
   for (const FlowKey &Flow : Expired) {
     ++C.E.Counters.SearchExpired;
     recordExpired(C, Flow, C.E.Searches.at(Flow));
@@ -335,13 +419,22 @@
 void flushQueries(EntryContext &C) {
   refillQueryBudget(C);
   EntryFlows &E = C.E;
+  if (C.Now + QueryRoundTolerance < E.QueryRoundDue)
+    return;
+  std::size_t Asked = 0;
   while (!E.QueryOrder.empty() && E.QueryBudget > 0) {
     const Endpoint Agent = E.QueryOrder.front();
     E.QueryOrder.pop_front();
     const auto Queued = E.QueuedQueries.extract(Agent);
-    if (!Queued.empty())
-      sendQueries(C, Agent, Queued.mapped());
+    if (!Queued.empty() && sendQueries(C, Agent, Queued.mapped()))
+      ++Asked;
   }
+  const double Rate = 2 * queryBytesPerSecond(E.Budget);
+  const std::chrono::duration<double> Pause(
+      static_cast<double>(Asked * QueryRoundBytes) / Rate);
+  E.QueryRoundDue =
+      std::max(E.QueryRoundDue, C.Now) +
+      std::chrono::duration_cast<std::chrono::microseconds>(Pause);
 }
 
 } // namespace jasminearch::flow::detail
