--- a/include/jasminearch/fleet/agent_directory.h
+++ b/include/jasminearch/fleet/agent_directory.h
@@ -69,10 +69,6 @@
 /// \returns the entry of an agent, or null.
 const DirectoryEntry *find(const AgentDirectory &D, const Endpoint &Tunnel);
 
-/// \returns whether the entry comes from the store, its agent's upstream was
-/// leaving, and no control host has heard from the agent since.
-bool isUnheard(const DirectoryEntry &Entry);
-
 /// \returns the number of agents that haven't departed.
 std::size_t presentAgents(const AgentDirectory &D);
 
--- a/include/jasminearch/fleet/fleet_client.h
+++ b/include/jasminearch/fleet/fleet_client.h
@@ -74,11 +74,6 @@
   /// because entry hosts place flows only on agents of a known service.
   void setServiceTag(std::uint32_t Tag);
 
-  /// Sets whether this agent's upstream is draining, and reports a change at
-  /// once: control hosts store it, in case it doesn't return after a loss of
-  /// power.
-  void setLeaving(bool Leaving);
-
   /// Sets whether control hosts list this agent. An agent that isn't listed, as
   /// its upstream holds no flows, says so until a control host acknowledges it,
   /// and then keeps no link.
--- a/include/jasminearch/fleet/messages.h
+++ b/include/jasminearch/fleet/messages.h
@@ -76,8 +76,6 @@
   /// Where the agent's host stands; empty if unknown.
   std::string DataCentre = {};
   std::string Region = {};
-  /// The upstream has announced that it is draining.
-  bool Leaving = false;
   auto operator<=>(const AgentRecord &) const = default;
 };
 
@@ -94,10 +92,6 @@
   /// Between control hosts: buckets of which Records contains everything that
   /// the sender holds. The receiver answers with what it holds beyond that.
   std::uint64_t Buckets = 0;
-  /// To an entry host: the agents in Records whose upstream was leaving, as the
-  /// sender's store says, and that no control host has been heard from since
-  /// the sender started.
-  std::vector<Endpoint> Unheard = {};
   auto operator<=>(const Agents &) const = default;
 };
 
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -410,12 +410,13 @@
               absl::Span<const std::uint8_t> Datagram, TimePoint Now,
               EntryEffects &Out);
 
-/// Sends queued queries in rounds as far as QueryBytesPerSecond allows, and
-/// places uploads that waited for a share of the link; must be called after
-/// each batch of datagrams and each tick. Queries for several flows share one
-/// datagram per agent. If an agent holds fewer flows than are searched for, its
-/// full flow list is requested instead: after a power loss, separate queries
-/// for thousands of lost flows would saturate the links.
+/// Sends queued queries in rounds as far as QueryBytesPerSecond allows, and places
+/// uploads that waited for a share of the link; must be called after each batch
+/// of datagrams and each tick.
+/// Queries for several flows share one datagram per agent. If an agent holds
+/// fewer flows than are searched for, its full flow list is requested instead:
+/// after a power loss, separate queries for thousands of lost flows would
+/// saturate the links.
 void flush(EntryFlows &E, TimePoint Now, EntryEffects &Out);
 
 /// Runs timers; must be called at least every 50 ms.
--- a/src/fleet/agent_directory.cpp
+++ b/src/fleet/agent_directory.cpp
@@ -65,10 +65,6 @@
   return It == D.Entries.end() ? nullptr : &It->second;
 }
 
-bool isUnheard(const DirectoryEntry &Entry) {
-  return !Entry.Confirmed && Entry.Record.Leaving && !Entry.Record.Departed;
-}
-
 std::size_t presentAgents(const AgentDirectory &D) {
   return D.Entries.size() - D.Departures;
 }
--- a/src/fleet/control_agents.cpp
+++ b/src/fleet/control_agents.cpp
@@ -32,10 +32,8 @@
     // An agent that has just restarted doesn't know its upstream's service yet;
     // mostly it is the one of before.
     const DirectoryEntry *Held = find(Directory, R.Tunnel);
-    if (Held && !Held->Record.Departed && R.ServiceTag == 0) {
+    if (Held && !Held->Record.Departed && R.ServiceTag == 0)
       R.ServiceTag = Held->Record.ServiceTag;
-      R.Leaving = Held->Record.Leaving;
-    }
     L.Statement = std::move(R);
     confirmStatement(Id, L);
     // Acknowledges the departure.
@@ -61,17 +59,13 @@
 MergeResult ControlNode::mergeRecord(const AgentRecord &Record,
                                      RecordSource Source) {
   const DirectoryEntry *Held = find(Directory, Record.Tunnel);
-  const bool WasUnheard = Held && isUnheard(*Held);
-  const bool ListingChanged = !Held || WasUnheard ||
+  const bool ListingChanged = !Held ||
                               Held->Record.Departed != Record.Departed ||
                               Held->Record.ServiceTag != Record.ServiceTag;
-  const bool LeavingChanged = Held && Held->Record.Leaving != Record.Leaving;
   const bool FirstDeparture = !Held && Record.Departed;
   const MergeResult Result = merge(Directory, Record, true, Time.now());
   if (Result == MergeResult::Superseded)
     ++Counters.Superseded;
-  if (Result == MergeResult::Unchanged && WasUnheard)
-    sendToEntryHosts(encode(Agents{{Record}}));
   if (Result != MergeResult::Changed)
     return Result;
   ++Counters.Changes;
@@ -80,9 +74,9 @@
     if (!FirstDeparture)
       logRecord(Record.Departed ? "agent_left" : "agent_known", Record);
     sendToEntryHosts(encode(Agents{{Record}}));
+    if (Source == RecordSource::ThisHost)
+      publish(Record);
   }
-  if ((ListingChanged || LeavingChanged) && Source == RecordSource::ThisHost)
-    publish(Record);
   // An agent that is linked here and didn't make this record has to supersede
   // it.
   if (const auto Link = AgentLinks.find(Record.Tunnel);
@@ -246,10 +240,7 @@
 
 void ControlNode::sendAgentList(link::LinkId Id, IncomingLink &L,
                                 TimePoint Now) {
-  Agents All = allAgents();
-  for (const auto &[Tunnel, Entry] : Directory.Entries)
-    if (isUnheard(Entry))
-      All.Unheard.push_back(Tunnel);
+  const Agents All = allAgents();
   // An incomplete list is followed by a complete one after the grace period.
   L.AgentListDue = Now + (All.Complete ? AgentListInterval
                                        : milliseconds(AgentListGracePeriod));
--- a/src/fleet/fleet_client.cpp
+++ b/src/fleet/fleet_client.cpp
@@ -185,12 +185,9 @@
     const MergeResult Result = merge(Directory, R, true, Now);
     if (Result == MergeResult::Superseded)
       continue;
-    if (!R.Departed) {
+    if (!R.Departed)
       Listed.Records.push_back(R);
-      if (std::count(Received.Unheard.begin(), Received.Unheard.end(),
-                     R.Tunnel) != 0)
-        Listed.Unheard.push_back(R.Tunnel);
-    } else if (WasListed)
+    else if (WasListed)
       Departed.push_back(R.Tunnel);
   }
   if (Handlers.AgentListReceived)
@@ -279,9 +276,4 @@
     makeStatement();
 }
 
-void FleetClient::setLeaving(bool Leaving) {
-  if (std::exchange(Own.Leaving, Leaving) != Leaving && Open)
-    makeStatement();
-}
-
 } // namespace jasminearch::fleet
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -143,7 +143,7 @@
 json toJson(const AgentRecord &R) {
   return json::array({toJson(R.Tunnel), R.Incarnation, R.RunId, R.Number,
                       R.Departed, R.ServiceTag, R.ControlHost, R.DataCentre,
-                      R.Region, R.Leaving});
+                      R.Region});
 }
 
 AgentRecord toAgentRecord(const json &J) {
@@ -160,8 +160,6 @@
     Record.DataCentre = R.next<std::string>();
     Record.Region = R.next<std::string>();
   }
-  if (R.more())
-    Record.Leaving = R.next<bool>();
   return Record;
 }
 
@@ -169,14 +167,7 @@
   json Records = json::array();
   for (const AgentRecord &R : M.Records)
     Records.push_back(toJson(R));
-  json Encoded = json::array({std::move(Records), M.Complete, M.Buckets});
-  if (!M.Unheard.empty()) {
-    json Unheard = json::array();
-    for (const Endpoint &Agent : M.Unheard)
-      Unheard.push_back(toJson(Agent));
-    Encoded.push_back(std::move(Unheard));
-  }
-  return Encoded;
+  return json::array({std::move(Records), M.Complete, M.Buckets});
 }
 json fields(const DirectoryDigest &M) {
   json Beats = json::array();
@@ -239,9 +230,6 @@
     M.Records.push_back(toAgentRecord(J));
   M.Complete = R.next<bool>();
   M.Buckets = R.next<std::uint64_t>();
-  if (R.more())
-    for (const json &J : R.element())
-      M.Unheard.push_back(toEndpoint(J));
   return M;
 }
 
--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -69,7 +69,8 @@
   const bool First = S.WaveSize == FirstWaveSize;
   const bool All = afterMassLoss(C) ||
                    (!First && C.E.Searches.size() >= MinSearchesForFlowList);
-  return All ? S.NotQueried.size() : std::min(S.WaveSize, S.NotQueried.size());
+  return All ? S.NotQueried.size()
+             : std::min(S.WaveSize, S.NotQueried.size());
 }
 
 /// Queries the next wave of agents, except those whose flow list already has
@@ -106,8 +107,8 @@
             [Hash](const Endpoint &X, const Endpoint &Y) {
               return rendezvousRank(X, Hash) > rendezvousRank(Y, Hash);
             });
-  const auto Count =
-      static_cast<std::ptrdiff_t>(std::min(S.TryGroupSize, S.Unsure.size()));
+  const auto Count = static_cast<std::ptrdiff_t>(
+      std::min(S.TryGroupSize, S.Unsure.size()));
   S.TryGroupSize *= WaveGrowthFactor;
   S.Tried.assign(S.Unsure.begin(), S.Unsure.begin() + Count);
   S.Unsure.erase(S.Unsure.begin(), S.Unsure.begin() + Count);
