Let agents that restart without an upstream report their departure

Ruled out: hosts that never return. The change for these, which named agents whose upstream had been draining, applied to none of the six and is reverted. Change: an agent that finds no process at its upstream's address for 1 s after its start makes a departure record.

--- a/include/jasminearch/fleet/fleet_client.h
+++ b/include/jasminearch/fleet/fleet_client.h
@@ -79,6 +79,11 @@
   /// and then keeps no link.
   void setListed(bool Listed);
 
+  /// Says that this agent's upstream is gone, unless this process has made a
+  /// statement already. Control hosts may know the agent from an earlier
+  /// process, and entry hosts would wait for its answers.
+  void reportMissingUpstream();
+
   /// \returns whether the routes, the agent list and the evacuations have been
   /// received since this process started, from a control host with a recent
   /// quorum.
--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -51,6 +51,11 @@
 /// check has had a result within this time.
 inline constexpr std::chrono::milliseconds FirstListenCheckTimeout{500};
 
+/// An agent that has found no upstream since its start reports so after this
+/// time. After a loss of power most upstreams start a little later than their
+/// agents.
+inline constexpr std::chrono::milliseconds MissingUpstreamDelay{1000};
+
 /// Minimum time between two listen checks.
 inline constexpr std::chrono::milliseconds ListenCheckInterval{200};
 
@@ -361,6 +366,11 @@
 /// that is slow, or whose announcements are late, still holds its flows.
 bool upstreamGone(const AgentFlows &A);
 
+/// \returns whether this agent has found no upstream since its start. Control
+/// hosts that know the agent from before must be told, so that no entry host
+/// waits for its answers once it has stopped.
+bool upstreamMissing(const AgentFlows &A, TimePoint Now);
+
 /// \returns whether control hosts must list this agent, so that entry hosts ask
 /// it for flows: not while its upstream is known to hold none, nor before the
 /// first listen check of this run has a result.
--- a/include/jasminearch/flow/agent_loop.h
+++ b/include/jasminearch/flow/agent_loop.h
@@ -48,6 +48,9 @@
   /// \returns mustBeListed() as of the last tick.
   bool listed() const { return Listed; }
 
+  /// \returns upstreamMissing() as of the last tick.
+  bool missesUpstream() const { return MissesUpstream; }
+
   /// Passes an announcement to the traffic thread, which calls \p Done with the
   /// result.
   void announce(AnnouncedUpstream Value,
@@ -79,6 +82,7 @@
   Mailbox Mail;
   std::atomic<bool> Stopping{false};
   std::atomic<bool> Listed{false};
+  std::atomic<bool> MissesUpstream{false};
 };
 
 } // namespace jasminearch::flow
--- a/include/jasminearch/flow/detail/entry_steps.h
+++ b/include/jasminearch/flow/detail/entry_steps.h
@@ -34,9 +34,8 @@
 void sendMessage(EntryContext &C, const Endpoint &Agent, TunnelKind Kind,
                  const Bytes &Payload);
 /// \returns whether there is evidence from \p Since or later that the upstream
-/// beside \p Agent holds no flows: the agent reported so, a control host
-/// reported that the agent has left, or an agent with AgentView::Unheard stays
-/// silent. The age of a report is no evidence.
+/// beside \p Agent holds no flows: the agent reported so, or a control host
+/// reported that the agent has left. The age of a report is no evidence.
 bool holdsNoFlows(const EntryContext &C, const Endpoint &Agent,
                   TimePoint Since);
 
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -97,12 +97,6 @@
 /// searched for then are lost as well, and one round serves all of them.
 inline constexpr std::chrono::milliseconds MassLossWindow{3000};
 
-/// An agent with AgentView::Unheard that leaves queries unanswered for this
-/// long counts as gone with its upstream. An agent that restarts at the same
-/// time as this host answers earlier: this host needs longer to receive routes
-/// and the agent list.
-inline constexpr std::chrono::milliseconds UnheardAgentTimeout{500};
-
 /// A search fails after this time. Callers retransmit after up to 1.6 s, so an
 /// agent that is just restarting still ends the search in time.
 inline constexpr std::chrono::milliseconds SearchTimeout{2000};
@@ -164,10 +158,6 @@
   /// Where the agent's host stands; empty if unknown.
   std::string DataCentre = {};
   std::string Region = {};
-  /// The upstream was draining when the control hosts stored the agent, and
-  /// none of them has heard from the agent since they started. A supervisor
-  /// doesn't restart what was being taken out of service.
-  bool Unheard = false;
 
   auto operator<=>(const ListedAgent &) const = default;
 };
@@ -179,12 +169,6 @@
   /// As listed; empty if unknown.
   std::string DataCentre;
   std::string Region;
-  /// The agent has sent a datagram since this host started.
-  bool HeardFrom = false;
-  /// As listed, unless HeardFrom.
-  bool Unheard = false;
-  /// When the first unanswered query was sent.
-  std::optional<TimePoint> QueriedSince;
   std::optional<LoadReport> Report;
   TimePoint ReportedAt{};
   /// When the agent was last listed by the control hosts or sent a report.
@@ -328,8 +312,6 @@
   /// When the last flows were lost that no upstream held, the latest last; at
   /// most MinSearchesForFlowList.
   std::deque<TimePoint> RecentLosses;
-  /// Agents with AgentView::Unheard that searches wait for.
-  std::vector<Endpoint> UnheardAgents;
   std::uint32_t LastFlowListRequestId = 0;
   /// The host's own data centre; empty if unknown.
   std::string DataCentre;
@@ -410,13 +392,12 @@
               absl::Span<const std::uint8_t> Datagram, TimePoint Now,
               EntryEffects &Out);
 
-/// Sends queued queries in rounds as far as QueryBytesPerSecond allows, and places
-/// uploads that waited for a share of the link; must be called after each batch
-/// of datagrams and each tick.
-/// Queries for several flows share one datagram per agent. If an agent holds
-/// fewer flows than are searched for, its full flow list is requested instead:
-/// after a power loss, separate queries for thousands of lost flows would
-/// saturate the links.
+/// Sends queued queries in rounds as far as QueryBytesPerSecond allows, and
+/// places uploads that waited for a share of the link; must be called after
+/// each batch of datagrams and each tick. Queries for several flows share one
+/// datagram per agent. If an agent holds fewer flows than are searched for, its
+/// full flow list is requested instead: after a power loss, separate queries
+/// for thousands of lost flows would saturate the links.
 void flush(EntryFlows &E, TimePoint Now, EntryEffects &Out);
 
 /// Runs timers; must be called at least every 50 ms.
--- a/src/fleet/fleet_client.cpp
+++ b/src/fleet/fleet_client.cpp
@@ -236,6 +236,11 @@
     disconnect("upstream is gone");
 }
 
+void FleetClient::reportMissingUpstream() {
+  if (Own.Number == 0 && !Listed)
+    makeStatement();
+}
+
 void FleetClient::connectToNextHost(TimePoint Now) {
   if (Hosts.empty())
     return;
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -751,6 +751,11 @@
 
 bool upstreamGone(const AgentFlows &A) { return A.NotListening || A.Withdrawn; }
 
+bool upstreamMissing(const AgentFlows &A, TimePoint Now) {
+  return A.NotListening && !A.Upstream &&
+         Now - A.StartedAt >= MissingUpstreamDelay;
+}
+
 bool mustBeListed(const AgentFlows &A, TimePoint Now) {
   if (upstreamGone(A))
     return false;
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -132,25 +132,6 @@
   }
 }
 
-/// Records whether control hosts have heard from an agent. What this host has
-/// heard from it itself is newer.
-void setUnheard(EntryFlows &E, const Endpoint &Agent, bool Unheard) {
-  AgentView &View = E.Agents.at(Agent);
-  const bool Before = std::exchange(View.Unheard, Unheard && !View.HeardFrom);
-  if (View.Unheard && !Before)
-    E.UnheardAgents.push_back(Agent);
-}
-
-/// Records that an agent has sent a datagram.
-void recordSignOfLife(EntryFlows &E, const Endpoint &Agent) {
-  const auto It = E.Agents.find(Agent);
-  if (It == E.Agents.end())
-    return;
-  It->second.HeardFrom = true;
-  It->second.Unheard = false;
-  It->second.QueriedSince.reset();
-}
-
 } // namespace
 
 void setRoutes(EntryFlows &E, std::shared_ptr<const RouteIndex> Routes) {
@@ -173,7 +154,6 @@
       It->second.Region = Agent.Region;
     }
     setService(E, Agent.Tunnel, Agent.ServiceTag);
-    setUnheard(E, Agent.Tunnel, Agent.Unheard);
     if (New)
       extendSearches(E, Agent.Tunnel);
   }
@@ -216,7 +196,6 @@
     ++E.Counters.Malformed;
     return;
   }
-  recordSignOfLife(E, From);
   const TunnelHeader &Header = Decoded->Header;
   if (Header.Kind == TunnelKind::Load)
     recordProbeAnswer(C, From);
--- a/src/flow/entry_loop.cpp
+++ b/src/flow/entry_loop.cpp
@@ -33,12 +33,9 @@
                  TimePoint Now) {
   if (!Log.allow(D.Event == "flow_placed", Now))
     return;
+  const LogField Flow{"flow", toString(D.Flow)};
   const LogField Reason{"reason", D.Reason};
   const LogField Agent{"agent", toString(D.Agent)};
-  // A decision about an agent names no flow.
-  if (D.Flow == FlowKey{})
-    return logEvent(LogLevel::Info, D.Event, {Agent, Reason});
-  const LogField Flow{"flow", toString(D.Flow)};
   const LogField Version{"routes_version", D.RoutesVersion};
   const LogField Age{"report_age_ms", std::int64_t{D.ReportAge.count()}};
   const LogField Outstanding{"outstanding", std::uint64_t{D.Outstanding}};
--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -69,8 +69,7 @@
   const bool First = S.WaveSize == FirstWaveSize;
   const bool All = afterMassLoss(C) ||
                    (!First && C.E.Searches.size() >= MinSearchesForFlowList);
-  return All ? S.NotQueried.size()
-             : std::min(S.WaveSize, S.NotQueried.size());
+  return All ? S.NotQueried.size() : std::min(S.WaveSize, S.NotQueried.size());
 }
 
 /// Queries the next wave of agents, except those whose flow list already has
@@ -107,8 +106,8 @@
             [Hash](const Endpoint &X, const Endpoint &Y) {
               return rendezvousRank(X, Hash) > rendezvousRank(Y, Hash);
             });
-  const auto Count = static_cast<std::ptrdiff_t>(
-      std::min(S.TryGroupSize, S.Unsure.size()));
+  const auto Count =
+      static_cast<std::ptrdiff_t>(std::min(S.TryGroupSize, S.Unsure.size()));
   S.TryGroupSize *= WaveGrowthFactor;
   S.Tried.assign(S.Unsure.begin(), S.Unsure.begin() + Count);
   S.Unsure.erase(S.Unsure.begin(), S.Unsure.begin() + Count);
@@ -239,9 +238,6 @@
       Flows.push_back(Flow);
   if (Flows.empty())
     return false;
-  if (const auto It = C.E.Agents.find(Agent);
-      It != C.E.Agents.end() && !It->second.QueriedSince)
-    It->second.QueriedSince = C.Now;
   if (isListSmaller(C.E, Agent, Flows.size())) {
     C.E.QueryBudget -= QueryOverheadBytes;
     requestFlowList(C, Agent);
@@ -279,30 +275,6 @@
   takeNextStep(C, Flow, It->second);
 }
 
-/// Ends the wait for agents that count as gone because they stay silent.
-void dropUnheardAgents(EntryContext &C) {
-  std::vector<Endpoint> Gone;
-  std::erase_if(C.E.UnheardAgents, [&](const Endpoint &Agent) {
-    const auto It = C.E.Agents.find(Agent);
-    if (It == C.E.Agents.end() || !It->second.Unheard)
-      return true;
-    if (holdsNoFlows(C, Agent, C.Now))
-      Gone.push_back(Agent);
-    return !Gone.empty() && Gone.back() == Agent;
-  });
-  for (const Endpoint &Agent : Gone) {
-    recordDecision(C, "agent_presumed_gone", {},
-                   "it hasn't been heard from since its upstream drained",
-                   Agent);
-    std::vector<FlowKey> Waiting;
-    for (const auto &[Flow, S] : C.E.Searches)
-      if (contains(S.NotAnswered, Agent))
-        Waiting.push_back(Flow);
-    for (const FlowKey &Flow : Waiting)
-      onLocated(C, Agent, FlowPresence::No, Flow);
-  }
-}
-
 } // namespace
 
 void advanceSearch(EntryContext &C, const FlowKey &Flow) {
@@ -384,7 +356,6 @@
 }
 
 void tickSearches(EntryContext &C) {
-  dropUnheardAgents(C);
   std::vector<FlowKey> Expired;
   std::vector<FlowKey> Due;
   for (auto &[Flow, S] : C.E.Searches) {
--- a/src/flow/entry_steps.cpp
+++ b/src/flow/entry_steps.cpp
@@ -65,9 +65,6 @@
   if (It == C.E.Agents.end())
     return true;
   const AgentView &View = It->second;
-  if (View.Unheard && View.QueriedSince &&
-      C.Now - *View.QueriedSince >= UnheardAgentTimeout)
-    return true;
   return View.Report && View.Report->HoldsNoFlows && View.ReportedAt >= Since;
 }
 
--- a/tests/fleet_control_test.cpp
+++ b/tests/fleet_control_test.cpp
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(listsAnAgentAgainOnceItsUpstreamRuns);
   CPPUNIT_TEST(storesADepartureBeforeALossOfPower);
   CPPUNIT_TEST(reportsStoredAgentsThatDoNotReturn);
+  CPPUNIT_TEST(storedAgentWithoutAnUpstreamLeavesAtOnce);
+  CPPUNIT_TEST(storedAgentWhoseUpstreamIsLateIsListedAgain);
   CPPUNIT_TEST(removesNoAgentsWithoutAQuorum);
   CPPUNIT_TEST(newHostSendsNoCompleteListBeforeItHasOne);
   CPPUNIT_TEST(listsGrowWithChangesNotWithTime);
@@ -453,6 +455,45 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, W->leader()->agents());
   }
 
+  /// Restarts all control hosts and the agent, which finds no upstream.
+  /// \returns an entry host that starts with them.
+  Daemon &restartWithoutUpstream() {
+    begin();
+    W->startDaemon("10.0.2.1", Role::Agent);
+    W->run(4s);
+    for (const std::string &Host : ThreeHosts)
+      W->kill(Host);
+    W->kill("10.0.2.1");
+    for (const std::string &Host : ThreeHosts)
+      W->startControl(Host, false);
+    Daemon &Entry = W->startDaemon("10.0.1.1", Role::Entry);
+    W->startDaemon("10.0.2.1", Role::Agent).Client->setListed(false);
+    W->run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.ListedAgents.size());
+    W->Daemons.at("10.0.2.1").Client->reportMissingUpstream();
+    W->run(1s);
+    return Entry;
+  }
+
+  /// Guards against searches that wait for an agent that stops again because
+  /// its upstream didn't return after a loss of power.
+  void storedAgentWithoutAnUpstreamLeavesAtOnce() {
+    const Daemon &Entry = restartWithoutUpstream();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.DepartedAgents.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, W->leader()->agents());
+    CPPUNIT_ASSERT(!W->Daemons.at("10.0.2.1").Client->linked());
+  }
+
+  /// Guards against an agent that stays unlisted because its upstream started
+  /// later than it.
+  void storedAgentWhoseUpstreamIsLateIsListedAgain() {
+    const Daemon &Entry = restartWithoutUpstream();
+    W->Daemons.at("10.0.2.1").Client->setListed(true);
+    W->run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.ListedAgents.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, W->leader()->agents());
+  }
+
   /// Guards against giving up the flows of live agents: a control host that is
   /// cut off hears from no agent.
   void removesNoAgentsWithoutAQuorum() {
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(keepsFlowsOfASilentUpstream);
   CPPUNIT_TEST(isListedOnlyWithAnUpstream);
   CPPUNIT_TEST(checksTheUpstreamWhenItStops);
+  CPPUNIT_TEST(reportsAMissingUpstreamOnlyAfterADelay);
   CPPUNIT_TEST(neverDeniesFlowsOfAnUpstreamThatIsLate);
   CPPUNIT_TEST(neverDeniesFlowsThatAnEarlierRunMayHaveOpened);
   CPPUNIT_TEST(deniesFlowsOfAnUpstreamThatStartedAfterTheAgent);
@@ -591,6 +592,21 @@
     CPPUNIT_ASSERT(!mustBeListed(A, Now));
   }
 
+  /// Guards against searches that wait for an agent that has restarted without
+  /// its upstream, and against a report for each upstream that starts later.
+  void reportsAMissingUpstreamOnlyAfterADelay() {
+    begin();
+    A.Upstream.reset();
+    A.StartedAt = Now;
+    tick(A, Now, Out);
+    CPPUNIT_ASSERT(!upstreamMissing(A, Now + 10s));
+    onListenCheckDone(A, true);
+    CPPUNIT_ASSERT(!upstreamMissing(A, Now + MissingUpstreamDelay - 1ms));
+    CPPUNIT_ASSERT(upstreamMissing(A, Now + MissingUpstreamDelay));
+    announce(A, announced(), Now);
+    CPPUNIT_ASSERT(!upstreamMissing(A, Now + 10s));
+  }
+
   /// Guards against a reset of open flows: an upstream accepted them before its
   /// first announcement, through a run of the agent that ended meanwhile.
   void neverDeniesFlowsThatAnEarlierRunMayHaveOpened() {
