Store departures of agents at the next tick

Cause: an agent left 328 ms before all hosts lost power on the large deployment; a control host had not stored this yet, listed the agent again, and 630 searches of ten entry hosts waited for it for five seconds. Change: a departure is stored at the next tick and not up to 250 ms later. Result: FleetControlTest::storesADepartureJustBeforeALossOfPower fails without the change and passes with it; 31 of 31 tests of the suite pass.

--- a/include/jasminearch/fleet/control_node.h
+++ b/include/jasminearch/fleet/control_node.h
@@ -36,9 +36,9 @@
 /// answer before they give up a flow.
 inline constexpr std::chrono::milliseconds StoredAgentLifetime{5000};
 
-/// Time between two checks for changes of the agent directory to be stored. An
-/// agent that leaves within this time before a loss of power is loaded again
-/// afterwards.
+/// Time between two checks for changes of the agent directory to be stored.
+/// Departures are stored at the next tick: after a loss of power, searches
+/// would wait for an agent that left just before it.
 inline constexpr std::chrono::milliseconds AgentStoreInterval{250};
 
 /// Time between two complete lists of agents on one link to an entry host.
--- a/src/fleet/control_agents.cpp
+++ b/src/fleet/control_agents.cpp
@@ -70,6 +70,8 @@
     return Result;
   ++Counters.Changes;
   DirectoryChanged = true;
+  if (Record.Departed)
+    AgentStoreDue = Time.now();
   if (ListingChanged) {
     if (!FirstDeparture)
       logRecord(Record.Departed ? "agent_left" : "agent_known", Record);
--- a/tests/fleet_control_test.cpp
+++ b/tests/fleet_control_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(restartDoesNotBringBackAnAgentThatLeft);
   CPPUNIT_TEST(listsAnAgentAgainOnceItsUpstreamRuns);
   CPPUNIT_TEST(storesADepartureBeforeALossOfPower);
+  CPPUNIT_TEST(storesADepartureJustBeforeALossOfPower);
   CPPUNIT_TEST(reportsStoredAgentsThatDoNotReturn);
   CPPUNIT_TEST(storedAgentWithoutAnUpstreamLeavesAtOnce);
   CPPUNIT_TEST(storedAgentWhoseUpstreamIsLateIsListedAgain);
@@ -419,12 +420,22 @@
 
   /// Guards against searches that wait for an agent that has left: it left one
   /// second before all hosts lost power, and the stored lists still had it.
-  void storesADepartureBeforeALossOfPower() {
+  void storesADepartureBeforeALossOfPower() { loseADeparture(1s); }
+
+  /// Guards against a departure that is lost because the next regular store of
+  /// the agents came too late.
+  void storesADepartureJustBeforeALossOfPower() {
+    loseADeparture(AgentStoreInterval / 2);
+  }
+
+  /// Lets all hosts lose power after an agent has left, and checks that no
+  /// control host loads the agent again.
+  void loseADeparture(Duration TimeBefore) {
     begin();
     Daemon &Agent = W->startDaemon("10.0.2.1", Role::Agent);
     W->run(4s);
     Agent.Client->setListed(false);
-    W->run(1s);
+    W->run(TimeBefore);
     for (const std::string &Host : ThreeHosts)
       W->kill(Host);
     W->kill("10.0.2.1");
