Tell nobody of a departure that follows another one

Cause: after a loss of power about 25 agents of scaled-in upstreams start without an upstream and report their departure again; each record went to all control hosts and 87 entry hosts while they were starting. Change: such a record changes no listing, so that it isn't passed on.

--- a/src/fleet/control_agents.cpp
+++ b/src/fleet/control_agents.cpp
@@ -59,9 +59,11 @@
 MergeResult ControlNode::mergeRecord(const AgentRecord &Record,
                                      RecordSource Source) {
   const DirectoryEntry *Held = find(Directory, Record.Tunnel);
-  const bool ListingChanged = !Held ||
-                              Held->Record.Departed != Record.Departed ||
-                              Held->Record.ServiceTag != Record.ServiceTag;
+  // A departure that follows another one changes no list: after a loss of power
+  // agents without an upstream report theirs again.
+  const bool ListingChanged =
+      !Held || Held->Record.Departed != Record.Departed ||
+      (!Record.Departed && Held->Record.ServiceTag != Record.ServiceTag);
   const bool FirstDeparture = !Held && Record.Departed;
   const MergeResult Result = merge(Directory, Record, true, Time.now());
   if (Result == MergeResult::Superseded)
--- a/tests/fleet_control_test.cpp
+++ b/tests/fleet_control_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(reportsStoredAgentsThatDoNotReturn);
   CPPUNIT_TEST(storedAgentWithoutAnUpstreamLeavesAtOnce);
   CPPUNIT_TEST(storedAgentWhoseUpstreamIsLateIsListedAgain);
+  CPPUNIT_TEST(tellsNobodyOfASecondDeparture);
   CPPUNIT_TEST(removesNoAgentsWithoutAQuorum);
   CPPUNIT_TEST(newHostSendsNoCompleteListBeforeItHasOne);
   CPPUNIT_TEST(listsGrowWithChangesNotWithTime);
@@ -495,6 +496,36 @@
     CPPUNIT_ASSERT(!W->Daemons.at("10.0.2.1").Client->linked());
   }
 
+  /// Guards against messages to all hosts for each agent without an upstream
+  /// while a fleet returns after a loss of power.
+  void tellsNobodyOfASecondDeparture() {
+    begin();
+    Daemon &Entry = W->startDaemon("10.0.1.1", Role::Entry);
+    W->startDaemon("10.0.2.1", Role::Agent).Client->setServiceTag(7);
+    W->run(1s);
+    W->Daemons.at("10.0.2.1").Client->setListed(false);
+    W->run(1s);
+    W->kill("10.0.2.1");
+    const auto Messages = [this] {
+      std::uint64_t Sum = 0;
+      for (const std::string &Host : ThreeHosts)
+        Sum += W->Controls.at(Host).Node->directoryCounters().Sent;
+      return Sum;
+    };
+    W->run(DigestInterval);
+    const std::uint64_t Before = Messages();
+    W->run(DigestInterval);
+    const std::uint64_t Usual = Messages() - Before;
+    Entry.DepartedAgents.clear();
+    W->startDaemon("10.0.2.1", Role::Agent).Client->setListed(false);
+    W->Daemons.at("10.0.2.1").Client->reportMissingUpstream();
+    const std::uint64_t Again = Messages();
+    W->run(DigestInterval);
+    CPPUNIT_ASSERT_EQUAL(Usual, Messages() - Again);
+    CPPUNIT_ASSERT(!W->Daemons.at("10.0.2.1").Client->linked());
+    CPPUNIT_ASSERT(Entry.DepartedAgents.empty());
+  }
+
   /// Guards against an agent that stays unlisted because its upstream started
   /// later than it.
   void storedAgentWhoseUpstreamIsLateIsListedAgain() {
