Mend what the review of the searches found

Cause: a review that read the code showed: an upstream that starts just as its agent reports it missing could get flows that entry hosts then reset, because the departure reached them after the agent's report; one unsure and one silent agent together held up later waves; the retry time counted from when a query was queued; the pause between rounds ignored the bytes of flow lists; sizes of waves could overflow; three tests proved less than they said. Change: such an upstream gets openings 500 ms after its first announcement; a retry tries a group and queries the next wave; retries count from when queries are sent; the pause follows from the expected bytes; sizes are bounded; a silent agent is named first when a search expires.

--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -56,6 +56,11 @@
 /// agents.
 inline constexpr std::chrono::milliseconds MissingUpstreamDelay{1000};
 
+/// An upstream that starts after its agent has reported it as missing gets no
+/// openings for this time: entry hosts must have received the agent's new
+/// listing after the departure, or they would reset its flows.
+inline constexpr std::chrono::milliseconds RelistingDelay{500};
+
 /// Minimum time between two listen checks.
 inline constexpr std::chrono::milliseconds ListenCheckInterval{200};
 
@@ -247,6 +252,8 @@
   bool ListenCheckPending = false;
   /// A check found that a process listens at the upstream's address.
   bool FoundListening = false;
+  /// upstreamMissing() has been true.
+  bool ReportedMissing = false;
   TimePoint ListenCheckDue{};
   /// The agent is about to stop and accepts no new flows.
   bool Stopping = false;
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -77,19 +77,16 @@
 /// Number of agents that a search queries first: those with the highest rank
 /// for the flow, because its upstream was one of the CandidatesPerFlow
 /// highest-ranked ready ones when it was placed. Each further wave is larger by
-/// WaveGrowthFactor. Waves also limit the copies of the caller's packet: after
-/// a restart of all agents none of them is sure, and every agent queried gets a
-/// copy.
+/// WaveGrowthFactor. Agents that are unsure get copies of the caller's packet
+/// in groups of the same sizes: after a restart of all agents none of them is
+/// sure.
 inline constexpr std::size_t FirstWaveSize = CandidatesPerFlow;
 inline constexpr std::size_t WaveGrowthFactor = 4;
 
-/// Bytes of a query for a few flows and its answer, headers included. The time
-/// between two rounds of queries follows from this, so that queries and answers
-/// together take at most twice the rate of queries.
-inline constexpr std::size_t QueryRoundBytes = 170;
-
-/// Rounds that together take less than this follow each other without a pause,
-/// so that the waves of a single search aren't delayed.
+/// The next round of queries waits until the queries and answers of the last
+/// one, together, have taken at most twice the rate of queries. Rounds that
+/// take less than this follow each other without a pause, so that the waves of
+/// a single search aren't delayed.
 inline constexpr std::chrono::milliseconds QueryRoundTolerance{20};
 
 /// If the last MinSearchesForFlowList flows that no upstream held were lost
@@ -132,6 +129,8 @@
 
 /// An agent's full flow list is requested only if at least this many searches
 /// wait for the agent; queries for fewer flows fit into one small datagram.
+/// While as many searches run, or after as many recent losses, a wave queries
+/// all agents.
 inline constexpr std::size_t MinSearchesForFlowList = 8;
 
 /// An agent's flow list is kept for this long; no search takes longer.
@@ -229,6 +228,9 @@
   TimePoint StartedAt{};
   TimePoint RetryDue{};
   std::chrono::milliseconds RetryInterval = LocateRetryInterval;
+  /// Queries wait for the next round. The retry time counts from when the first
+  /// of them is sent.
+  bool QueriesQueued = false;
   /// Agents not queried yet, the most likely last.
   std::vector<Endpoint> NotQueried;
   std::size_t WaveSize = FirstWaveSize;
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -96,7 +96,9 @@
 /// \returns whether the upstream is certain to be the one that was announced,
 /// and this agent accepts openings for it.
 bool canServe(const AgentFlows &A, TimePoint Now) {
-  return !A.Stopping && hasLease(A, Now) && !isContested(A);
+  const bool BeingRelisted =
+      A.ReportedMissing && Now - A.CurrentStartAt < RelistingDelay;
+  return !A.Stopping && hasLease(A, Now) && !isContested(A) && !BeingRelisted;
 }
 
 /// \returns whether the upstream gets new flows of its service.
@@ -737,6 +739,7 @@
 void tick(AgentFlows &A, TimePoint Now, AgentEffects &Out) {
   Context C{A, Now, Out};
   checkListening(C);
+  A.ReportedMissing = A.ReportedMissing || upstreamMissing(A, Now);
   while (!A.RecentOpenings.empty() &&
          Now - A.RecentOpenings.front() >= FirstRequestWindow)
     A.RecentOpenings.pop_front();
--- a/src/flow/agent_loop.cpp
+++ b/src/flow/agent_loop.cpp
@@ -160,7 +160,7 @@
       TickDue = Now + std::chrono::milliseconds(detail::TickIntervalMs);
       tick(Flows, Now, Effects);
       Listed = mustBeListed(Flows, Now);
-      MissesUpstream = upstreamMissing(Flows, Now);
+      MissesUpstream = Flows.ReportedMissing;
     }
     applyEffects();
   }
--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -14,6 +14,15 @@
 /// Bytes of a query besides the flow keys: tunnel, UDP and IP headers.
 constexpr std::size_t QueryOverheadBytes = TunnelHeaderBytes + 28;
 
+/// Bytes of one flow in an answer.
+constexpr std::size_t FlowAnswerBytes = FlowKeyBytes + 1;
+
+/// Number of flows that the list of an agent without a report counts for.
+constexpr std::size_t UnknownListSize = 5;
+
+/// Bound of the growth of waves and groups, so that no size overflows.
+constexpr std::size_t MaxWaveSize = 65'536;
+
 /// Ends a search after all agents answered that they don't hold the flow.
 void failSearch(EntryContext &C, const FlowKey &Flow, const Search &S) {
   ++C.E.Counters.FoundNowhere;
@@ -33,7 +42,8 @@
   Flows.insert(Flow);
 }
 
-void queueQueries(EntryContext &C, const FlowKey &Flow, const Search &S) {
+void queueQueries(EntryContext &C, const FlowKey &Flow, Search &S) {
+  S.QueriesQueued = S.QueriesQueued || !S.NotAnswered.empty();
   for (const Endpoint &Agent : S.NotAnswered)
     queueQuery(C.E, Agent, Flow);
 }
@@ -80,7 +90,7 @@
                                    S.NotQueried.rbegin() +
                                        static_cast<std::ptrdiff_t>(Count));
   S.NotQueried.resize(S.NotQueried.size() - Count);
-  S.WaveSize *= WaveGrowthFactor;
+  S.WaveSize = std::min(S.WaveSize * WaveGrowthFactor, MaxWaveSize);
   S.RetryInterval = LocateRetryInterval;
   S.RetryDue = C.Now + S.RetryInterval;
   for (const Endpoint &Agent : Wave) {
@@ -108,8 +118,9 @@
             });
   const auto Count =
       static_cast<std::ptrdiff_t>(std::min(S.TryGroupSize, S.Unsure.size()));
-  S.TryGroupSize *= WaveGrowthFactor;
-  S.Tried.assign(S.Unsure.begin(), S.Unsure.begin() + Count);
+  S.TryGroupSize = std::min(S.TryGroupSize * WaveGrowthFactor, MaxWaveSize);
+  S.RetryDue = C.Now + S.RetryInterval;
+  S.Tried.insert(S.Tried.end(), S.Unsure.begin(), S.Unsure.begin() + Count);
   S.Unsure.erase(S.Unsure.begin(), S.Unsure.begin() + Count);
   S.TriedPacketIndex = S.HeldPackets.size() - 1;
   for (const Endpoint &Agent : S.Tried)
@@ -186,7 +197,7 @@
 }
 
 void recordExpired(EntryContext &C, const FlowKey &Flow, const Search &S) {
-  if (!S.Tried.empty())
+  if (S.NotAnswered.empty() && !S.Tried.empty())
     return recordDecision(C, "search_expired", Flow,
                           "no answer from the upstream", S.Tried.front());
   recordDecision(C, "search_expired", Flow, "no answer from an agent",
@@ -228,20 +239,34 @@
   C.E.QueryBudget = std::min(C.E.QueryBudget + Elapsed.count() * Rate, Burst);
 }
 
+/// \returns the number of flows that the list of \p Agent is expected to have.
+std::size_t expectedListSize(const EntryFlows &E, const Endpoint &Agent) {
+  const auto It = E.Agents.find(Agent);
+  return It != E.Agents.end() && It->second.Report
+             ? It->second.Report->ActiveFlows
+             : UnknownListSize;
+}
+
 /// Queries \p Agent for those of \p Queued that are still searched for.
-/// \returns whether there are any.
-bool sendQueries(EntryContext &C, const Endpoint &Agent,
-                 const absl::flat_hash_set<FlowKey> &Queued) {
+/// \returns the bytes that the queries and their answers are expected to take.
+std::size_t sendQueries(EntryContext &C, const Endpoint &Agent,
+                        const absl::flat_hash_set<FlowKey> &Queued) {
   std::vector<FlowKey> Flows;
-  for (const FlowKey &Flow : Queued)
-    if (C.E.Searches.contains(Flow))
-      Flows.push_back(Flow);
+  for (const FlowKey &Flow : Queued) {
+    const auto It = C.E.Searches.find(Flow);
+    if (It == C.E.Searches.end())
+      continue;
+    Flows.push_back(Flow);
+    if (std::exchange(It->second.QueriesQueued, false))
+      It->second.RetryDue = C.Now + It->second.RetryInterval;
+  }
   if (Flows.empty())
-    return false;
+    return 0;
   if (isListSmaller(C.E, Agent, Flows.size())) {
     C.E.QueryBudget -= QueryOverheadBytes;
     requestFlowList(C, Agent);
-    return true;
+    return 2 * QueryOverheadBytes +
+           expectedListSize(C.E, Agent) * FlowAnswerBytes;
   }
   for (std::size_t From = 0; From < Flows.size(); From += MaxFlowsPerDatagram) {
     const std::size_t To = std::min(Flows.size(), From + MaxFlowsPerDatagram);
@@ -252,16 +277,8 @@
         static_cast<double>(QueryOverheadBytes + Part.size() * FlowKeyBytes);
     sendMessage(C, Agent, TunnelKind::Locate, encodeFlowKeys(Part));
   }
-  return true;
-}
-
-/// Takes the next step of a search that needn't wait for more answers: sends a
-/// packet to agents that answered Unsure, or queries the next wave.
-void takeNextStep(EntryContext &C, const FlowKey &Flow, Search &S) {
-  if (S.Tried.empty() && !S.Unsure.empty())
-    return tryNextGroup(C, Flow, S);
-  if (!S.NotQueried.empty())
-    queryNextWave(C, Flow, S);
+  return 2 * QueryOverheadBytes +
+         Flows.size() * (FlowKeyBytes + FlowAnswerBytes);
 }
 
 /// Continues a search whose retry is due, also without the answers of agents
@@ -270,23 +287,30 @@
   const auto It = C.E.Searches.find(Flow);
   if (It == C.E.Searches.end())
     return;
-  if (It->second.NotAnswered.empty())
+  Search &S = It->second;
+  if (S.NotAnswered.empty())
     return advanceSearch(C, Flow);
-  takeNextStep(C, Flow, It->second);
+  if (!S.Unsure.empty())
+    tryNextGroup(C, Flow, S);
+  if (!S.NotQueried.empty())
+    queryNextWave(C, Flow, S);
 }
 
 } // namespace
 
 void advanceSearch(EntryContext &C, const FlowKey &Flow) {
   const auto It = C.E.Searches.find(Flow);
-  if (It == C.E.Searches.end() || !It->second.NotAnswered.empty())
+  if (It == C.E.Searches.end() || !It->second.Tried.empty())
     return;
   Search &S = It->second;
-  if (S.Unsure.empty() && !S.Tried.empty())
+  const bool TriedBefore = S.TryGroupSize > FirstWaveSize;
+  if (!S.Unsure.empty() && (S.NotAnswered.empty() || TriedBefore))
+    return tryNextGroup(C, Flow, S);
+  if (!S.NotAnswered.empty())
     return;
-  if (S.Unsure.empty() && S.NotQueried.empty())
+  if (S.NotQueried.empty())
     return failSearch(C, Flow, S);
-  takeNextStep(C, Flow, S);
+  queryNextWave(C, Flow, S);
 }
 
 void holdPacket(Search &S, const Packet &P,
@@ -363,7 +387,7 @@
       Expired.push_back(Flow);
       continue;
     }
-    if (C.Now < S.RetryDue)
+    if (C.Now < S.RetryDue || S.QueriesQueued)
       continue;
     S.RetryInterval =
         std::min<milliseconds>(2 * S.RetryInterval, MaxLocateRetryInterval);
@@ -392,17 +416,17 @@
   EntryFlows &E = C.E;
   if (C.Now + QueryRoundTolerance < E.QueryRoundDue)
     return;
-  std::size_t Asked = 0;
+  std::size_t RoundBytes = 0;
   while (!E.QueryOrder.empty() && E.QueryBudget > 0) {
     const Endpoint Agent = E.QueryOrder.front();
     E.QueryOrder.pop_front();
     const auto Queued = E.QueuedQueries.extract(Agent);
-    if (!Queued.empty() && sendQueries(C, Agent, Queued.mapped()))
-      ++Asked;
+    if (!Queued.empty())
+      RoundBytes += sendQueries(C, Agent, Queued.mapped());
   }
   const double Rate = 2 * queryBytesPerSecond(E.Budget);
-  const std::chrono::duration<double> Pause(
-      static_cast<double>(Asked * QueryRoundBytes) / Rate);
+  const std::chrono::duration<double> Pause(static_cast<double>(RoundBytes) /
+                                            Rate);
   E.QueryRoundDue =
       std::max(E.QueryRoundDue, C.Now) +
       std::chrono::duration_cast<std::chrono::microseconds>(Pause);
--- a/tests/control_process_test.cpp
+++ b/tests/control_process_test.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <thread>
 #include <unistd.h>
 
@@ -51,6 +52,8 @@
 int put(const Endpoint &To, const std::string &Target,
         const std::string &Body) {
   const Socket S;
+  const timeval Timeout{5, 0};
+  setsockopt(S.Descriptor, SOL_SOCKET, SO_RCVTIMEO, &Timeout, sizeof(Timeout));
   const sockaddr_in Address = addressOf(To);
   if (connect(S.Descriptor, reinterpret_cast<const sockaddr *>(&Address),
               sizeof(Address)) != 0)
--- a/tests/fleet_control_test.cpp
+++ b/tests/fleet_control_test.cpp
@@ -530,6 +530,7 @@
   /// later than it.
   void storedAgentWhoseUpstreamIsLateIsListedAgain() {
     const Daemon &Entry = restartWithoutUpstream();
+    CPPUNIT_ASSERT(Entry.ListedAgents.empty());
     W->Daemons.at("10.0.2.1").Client->setListed(true);
     W->run(1s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.ListedAgents.size());
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(isListedOnlyWithAnUpstream);
   CPPUNIT_TEST(checksTheUpstreamWhenItStops);
   CPPUNIT_TEST(reportsAMissingUpstreamOnlyAfterADelay);
+  CPPUNIT_TEST(takesOpeningsOnlyOnceItIsListedAgain);
   CPPUNIT_TEST(neverDeniesFlowsOfAnUpstreamThatIsLate);
   CPPUNIT_TEST(neverDeniesFlowsThatAnEarlierRunMayHaveOpened);
   CPPUNIT_TEST(deniesFlowsOfAnUpstreamThatStartedAfterTheAgent);
@@ -607,6 +608,23 @@
     CPPUNIT_ASSERT(!upstreamMissing(A, Now + 10s));
   }
 
+  /// Guards against a reset of a flow that is placed on an agent between its
+  /// departure and its new listing.
+  void takesOpeningsOnlyOnceItIsListedAgain() {
+    begin();
+    A.Upstream.reset();
+    A.StartedAt = Now;
+    tick(A, Now, Out);
+    onListenCheckDone(A, true);
+    Now += MissingUpstreamDelay;
+    tick(A, Now, Out);
+    AnnouncedUpstream Late = announced();
+    announce(A, Late, Now);
+    const std::uint32_t Tag = serviceTag(Late.Service);
+    CPPUNIT_ASSERT(!acceptsNewFlows(A, Tag, Now + RelistingDelay - 1ms));
+    CPPUNIT_ASSERT(acceptsNewFlows(A, Tag, Now + RelistingDelay));
+  }
+
   /// Guards against a reset of open flows: an upstream accepted them before its
   /// first announcement, through a run of the agent that ended meanwhile.
   void neverDeniesFlowsThatAnEarlierRunMayHaveOpened() {
--- a/tests/flow_search_test.cpp
+++ b/tests/flow_search_test.cpp
@@ -23,13 +23,16 @@
   EntryFlows E;
   EntryEffects Out;
   TimePoint Now = TimePoint(1h);
+  /// A query for a few flows and its answer, headers included.
+  static constexpr std::size_t BytesOfAQuery = 170;
   std::size_t QueryBytes = 0;
+  std::size_t PacketsForwarded = 0;
   std::set<std::uint16_t> ResetPorts;
 
   void begin(std::uint32_t Count) {
     E = {};
     E.Codec = codec();
-    QueryBytes = 0;
+    QueryBytes = PacketsForwarded = 0;
     ResetPorts.clear();
     setRoutes(E, std::make_shared<const RouteIndex>(routesTo("orders")));
     addListedAgents(E, listed(Count, "orders"), true, Now);
@@ -78,6 +81,7 @@
       for (const SendTunnel &Datagram : effectsOfType<SendTunnel>(Sent))
         QueryBytes += Datagram.Datagram.size() + 28;
       recordResets(Sent);
+      PacketsForwarded += forwards(Sent).size();
       for (const SentTunnel &Query :
            tunnels<EntryEffects, SendTunnel>(Sent, TunnelKind::Locate))
         if (numberOf(Query.To) <= Last)
@@ -157,29 +161,27 @@
     constexpr std::uint32_t Agents = 100;
     constexpr std::uint16_t Flows = 2 * MinSearchesForFlowList;
     begin(Agents);
-    for (std::uint16_t Port = 1; Port <= Flows; ++Port)
+    for (std::uint16_t Port = 1; Port <= Flows; ++Port) {
       packet(Port);
-    std::size_t Packets = 0;
-    for (int Step = 0; Step < 5; ++Step) {
-      step(10ms);
-      const EntryEffects Sent = Out;
       answerQueries(Agents, FlowPresence::Unsure);
-      Packets += forwards(Sent).size();
     }
-    CPPUNIT_ASSERT(Packets <= Flows * FirstWaveSize);
+    run(LocateRetryInterval - 20ms, Agents, FlowPresence::Unsure);
+    CPPUNIT_ASSERT(PacketsForwarded > 0);
+    CPPUNIT_ASSERT(PacketsForwarded <= Flows * FirstWaveSize);
   }
 
   /// Guards against searches of four waves each, which fill the link.
   void asksAllAgentsOnceForManyLostFlows() {
     constexpr std::uint32_t Agents = 200;
     begin(Agents);
-    for (std::uint16_t Port = 1; Port <= 60; ++Port)
+    for (std::uint16_t Port = 1; Port <= 60; ++Port) {
       packet(Port);
-    answerQueries(Agents, FlowPresence::No);
+      answerQueries(Agents, FlowPresence::No);
+    }
     run(500ms, Agents, FlowPresence::No);
     CPPUNIT_ASSERT_EQUAL(std::size_t{60}, ResetPorts.size());
     // One query to each agent for the first wave and one for the others.
-    CPPUNIT_ASSERT(QueryBytes < 3 * Agents * QueryRoundBytes);
+    CPPUNIT_ASSERT(QueryBytes < 3 * Agents * BytesOfAQuery);
   }
 
   /// Guards against queries that fill a narrow link while callers find out one
@@ -191,8 +193,10 @@
       begin(Agents);
       std::uint16_t Port = 0;
       for (int Step = 0; Step < 40; ++Step) {
-        for (int I = 0; I < PerStep; ++I)
+        for (int I = 0; I < PerStep; ++I) {
           packet(++Port);
+          answerQueries(Agents, FlowPresence::No);
+        }
         run(50ms, Agents, FlowPresence::No);
       }
       run(1s, Agents, FlowPresence::No);
--- a/tests/mass_loss_test.cpp
+++ b/tests/mass_loss_test.cpp
@@ -262,7 +262,8 @@
   /// agents, not with flows times agents. A narrow link takes 0.3 s for the
   /// packets of a thousand callers, so that a hundred return in the same time.
   void bytesDoNotGrowWithTheNumberOfFlows() {
-    constexpr std::size_t RoundBytes = AgentCount * QueryRoundBytes;
+    // 170 bytes are a query for a few flows and its answer.
+    constexpr std::size_t RoundBytes = AgentCount * 170;
     std::vector<std::size_t> Bytes;
     for (const std::uint16_t Flows : {100, 1000}) {
       MassLossSimulation S(2);
@@ -306,25 +307,32 @@
     constexpr std::uint16_t FirstOpen = 1000;
     constexpr std::uint16_t OpenFlows = 40;
     for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
-      MassLossSimulation S(Seed, {0.05, 80ms});
+      // In odd runs every agent answers in the end, few datagrams are lost and
+      // few agents have restarted, so that lost flows are reset beside open
+      // ones. Each agent that has restarted gets a packet of each lost flow.
+      const bool Calm = Seed % 2 == 1;
+      MassLossSimulation S(Seed,
+                           Calm ? Faults{0.005, 20ms} : Faults{0.05, 80ms});
       const auto Number = [&S](std::size_t Limit) {
         return std::uniform_int_distribution<std::size_t>(0,
                                                           Limit - 1)(S.Random);
       };
       for (std::uint16_t I = 0; I < OpenFlows; ++I) {
         SimulatedHost &H = S.Hosts[Number(AgentCount)];
-        const bool Restarted = Number(2) == 0;
+        const bool Restarted = Number(Calm ? 8 : 2) == 0;
         if (Restarted)
           S.startAgent(H, false);
         S.hold(H, FirstOpen + I);
         if (Restarted)
           H.Agent.Flows.clear();
-        H.StartsAt = S.Now + std::chrono::milliseconds(Number(3) * 700);
-        if (Number(10) == 0)
+        H.StartsAt = S.Now + std::chrono::milliseconds(Number(3) * 350);
+        if (!Calm && Number(10) == 0)
           H.StopsAt = S.Now + std::chrono::milliseconds(Number(1000));
         S.callerSends(FirstOpen + I);
       }
-      sendOnLostFlows(S, FlowsAtOnce, 8);
+      const std::uint16_t Lost = sendOnLostFlows(S, FlowsAtOnce, 8);
+      if (Calm)
+        CPPUNIT_ASSERT(S.ResetAfter.size() >= Lost / 2U);
       for (std::uint16_t I = 0; I < OpenFlows; ++I)
         CPPUNIT_ASSERT(!S.ResetAfter.contains(FirstOpen + I));
     }
