--- a/tests/flow_search_test.cpp
+++ b/tests/flow_search_test.cpp
@@ -65,6 +65,7 @@
   void located(std::uint32_t Agent, const std::vector<FlowKey> &Flows,
                FlowPresence Presence) {
     std::vector<FlowLocation> Answers;
+    Answers.reserve(Flows.size());
     for (const FlowKey &Flow : Flows)
       Answers.push_back({Flow, Presence});
     onTunnel(E, agentAt(Agent),
@@ -181,7 +182,7 @@
     run(500ms, Agents, FlowPresence::No);
     CPPUNIT_ASSERT_EQUAL(std::size_t{60}, ResetPorts.size());
     // One query to each agent for the first wave and one for the others.
-    CPPUNIT_ASSERT(QueryBytes < 3 * Agents * BytesOfAQuery);
+    CPPUNIT_ASSERT(QueryBytes < 3 * BytesOfAQuery * Agents);
   }
 
   /// Guards against queries that fill a narrow link while callers find out one
--- a/tests/mass_loss_test.cpp
+++ b/tests/mass_loss_test.cpp
@@ -263,7 +263,7 @@
   /// packets of a thousand callers, so that a hundred return in the same time.
   void bytesDoNotGrowWithTheNumberOfFlows() {
     // 170 bytes are a query for a few flows and its answer.
-    constexpr std::size_t RoundBytes = AgentCount * 170;
+    constexpr std::size_t RoundBytes = std::size_t{AgentCount} * 170;
     std::vector<std::size_t> Bytes;
     for (const std::uint16_t Flows : {100, 1000}) {
       MassLossSimulation S(2);
@@ -286,7 +286,7 @@
     MassLossSimulation S(3);
     constexpr std::uint16_t FirstOpen = 1000;
     for (std::uint16_t I = 0; I < 20; ++I) {
-      SimulatedHost &H = S.Hosts[10 * I];
+      SimulatedHost &H = S.Hosts[std::size_t{I} * 10];
       if (I % 2 == 0)
         S.startAgent(H, false);
       S.hold(H, FirstOpen + I);
