Search all agents at once only where the likely ones are sure

There all processes but the upstreams restart: hundreds of open flows are searched for, the likely agents hold them but are slow and unsure, and the overlapping second wave, which asked all agents, loaded every agent and link; searches expired by the hundred. Change: a second wave asks all agents only if the first one said no; a silent agent lets the next wave out only after two retries; losses count as a mass loss only as far as they outnumber the flows that are found. Test: silentAgentHoldsUpNoWave expects the next wave at the second retry and none at the first, because of the trace above.

--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -76,9 +76,15 @@
 
 /// \returns the number of agents that the next wave of \p S queries.
 std::size_t nextWaveSize(const EntryContext &C, const Search &S) {
-  const bool First = S.WaveSize == FirstWaveSize;
-  const bool All = afterMassLoss(C) ||
-                   (!First && C.E.Searches.size() >= MinSearchesForFlowList);
+  // Where the likely agents are sure that they don't hold the flows, these are
+  // lost. Unsure agents may hold them: all processes but the upstreams have
+  // restarted, and larger waves would only load the agents.
+  const bool FirstSaidNo = S.WaveSize > FirstWaveSize &&
+                           S.NotAnswered.empty() && S.Unsure.empty() &&
+                           S.TryGroupSize == FirstWaveSize;
+  const bool All =
+      afterMassLoss(C) ||
+      (FirstSaidNo && C.E.Searches.size() >= MinSearchesForFlowList);
   return All ? S.NotQueried.size() : std::min(S.WaveSize, S.NotQueried.size());
 }
 
@@ -170,6 +176,9 @@
   if (It == C.E.Searches.end())
     return;
   ++C.E.Counters.Found;
+  // Losses count only as far as they outnumber the flows that are found.
+  if (!C.E.RecentLosses.empty())
+    C.E.RecentLosses.pop_front();
   recordDecision(C, "flow_found", Flow,
                  "an agent reports that its upstream holds the flow", Agent);
   C.E.Flows[Flow] = CachedFlow{Agent, C.Now, true, 0, {}, C.Now, {}};
@@ -292,7 +301,8 @@
     return advanceSearch(C, Flow);
   if (!S.Unsure.empty())
     tryNextGroup(C, Flow, S);
-  if (!S.NotQueried.empty())
+  // Agents that are only slow answer within the first retries.
+  if (!S.NotQueried.empty() && S.RetryInterval >= MaxLocateRetryInterval)
     queryNextWave(C, Flow, S);
 }
 
--- a/tests/flow_search_test.cpp
+++ b/tests/flow_search_test.cpp
@@ -127,7 +127,10 @@
     packet(1);
     const auto First = queried();
     CPPUNIT_ASSERT_EQUAL(FirstWaveSize, First.size());
+    // Agents that are only slow get two retries.
     step(LocateRetryInterval);
+    CPPUNIT_ASSERT_EQUAL(FirstWaveSize, queried().size());
+    step(2 * LocateRetryInterval);
     CPPUNIT_ASSERT_EQUAL(FirstWaveSize + 1, queried().size());
     for (const std::uint32_t Agent : queried())
       if (!First.contains(Agent))
