soak: Check the sequence number of resets as callers do

Callers ignore a reset of an open flow whose sequence number is further than 76,800 from their last acknowledgement. Ruled out: a search that denied the flow (its reset carries the caller's acknowledgement). Change: the simulated callers ignore such resets too, go on with the flow, and count them as resets_out_of_window.

--- a/standins/jasminearch_flows.cpp
+++ b/standins/jasminearch_flows.cpp
@@ -58,6 +58,10 @@
 constexpr milliseconds ChangeInterval{700};
 constexpr int RequestsPerFlow = 40;
 
+/// A reset is taken for an open flow only if its sequence number is at most
+/// this far from the caller's last acknowledgement.
+constexpr std::int64_t ResetWindow = 76'800;
+
 /// Shortest time for which an upstream runs, or is down after a crash; the
 /// longest is three times as long.
 constexpr milliseconds MinUpstreamUptime{4000};
@@ -94,6 +98,8 @@
   std::uint64_t Altered = 0;
   std::uint64_t Misdelivered = 0;
   std::uint64_t LiveFlowsReset = 0;
+  /// Resets that callers ignored because of their sequence numbers.
+  std::uint64_t ResetsOutOfWindow = 0;
   std::uint64_t WrongAnswers = 0;
   std::uint64_t OldConfigurations = 0;
   /// Nothing if the run has no evacuations.
@@ -210,6 +216,8 @@
   Clock::time_point SentAt{};
   Clock::time_point NextAt{};
   std::uint32_t Transmissions = 0;
+  /// Opening packets sent until the flow was open.
+  std::uint32_t OpeningTransmissions = 0;
   /// The entry hosts that the packets of this flow were sent to.
   std::set<std::uint32_t> EntriesUsed;
 };
@@ -426,18 +434,34 @@
                        });
   }
 
+  /// \returns whether a caller takes \p Reset for a reset of its open flow. An
+  /// entry host that was paused with a copy of the opening refuses the copy
+  /// when it continues; by then, another copy may have opened the flow.
+  static bool isResetInWindow(const Caller &C, const Packet &Reset) {
+    const auto Distance = static_cast<std::int32_t>(Reset.SequenceNumber -
+                                                    C.UpstreamSequenceNumber);
+    return std::abs(std::int64_t{Distance}) <= ResetWindow;
+  }
+
   void handleCallerPacket(Caller &C, absl::Span<const std::uint8_t> Raw) {
     const auto P = decode(Raw);
     if (!P || P->To != Endpoint{C.Address, C.Port})
       return;
     if ((P->Flags & Rst) != 0) {
       ++Totals.Resets;
+      if (C.FlowState == Caller::Open && !isResetInWindow(C, *P)) {
+        ++Totals.ResetsOutOfWindow;
+        return;
+      }
       if (C.FlowState == Caller::Open && isHeldByAnUpstream(C)) {
         ++Totals.LiveFlowsReset;
         std::cerr << "live flow reset: "
                   << toString(Endpoint{C.Address, C.Port}) << " to "
                   << toString(Services[C.Service]) << " at "
-                  << wallClockMilliseconds() << " ms\n";
+                  << wallClockMilliseconds() << " ms, sequence number "
+                  << P->SequenceNumber << " after acknowledgement "
+                  << C.UpstreamSequenceNumber << ", opened after "
+                  << C.OpeningTransmissions << " copies\n";
       }
       return close(C);
     }
@@ -448,6 +472,7 @@
     if (C.FlowState == Caller::Opening && (P->Flags & Syn) != 0) {
       C.FlowState = Caller::Open;
       C.UpstreamSequenceNumber = P->SequenceNumber;
+      C.OpeningTransmissions = C.Transmissions;
       ++Totals.FlowsOpened;
       C.NextAt = Clock::now();
     } else if (C.FlowState == Caller::Open && !P->Data.empty()) {
@@ -687,6 +712,7 @@
       {"altered", Totals.Altered},
       {"misdelivered", Totals.Misdelivered},
       {"live_flows_reset", Totals.LiveFlowsReset},
+      {"resets_out_of_window", Totals.ResetsOutOfWindow},
       {"wrong_answers", Totals.WrongAnswers},
       {"old_configurations", Totals.OldConfigurations}};
   if (const auto &Evacuations = Totals.Evacuations) {
