Answer searches for lost flows by digests of agents' flows

Cause: on the large deployment, searches expired by the hundred a second for ten seconds after a loss of power (807 on three hosts): each caller was told nothing for 2 s, sent again and began another search. An entry host had 40 to 60 searches at a time, and each needs an answer from all 179 agents. (a) Queries and flow lists took up to 700 ms of the rate for one round, as agents have new flows by then. (b) Each round went out as a burst; the link's queue dropped about one answer in ten, so that a search took four rounds. (c) Searches went through four waves. (d) Three agents started after their upstreams and are unsure, so that each lost flow's packet is tried there, after all other answers. Ruled out: silent agents (the unanswered ones were different each time), the budget of bytes (never used up). Change: an agent numbers the hashes of its flows; an entry host asks only for those after the last one that it knows (ListRecentFlows, RecentFlows), and one answer serves all searches that began before. A listed hash leads to a query by key. Queries go out one after the other at the same average rate. After a first wave without the flow, or a recent mass loss, all agents are asked. Unsure agents are tried once a full group of them is known. Agents of earlier versions are asked by key or list after an unanswered request. Tests: resetsLostFlowsBesideManyOpenOnes fails before; FlowDigestTest. The simulated agents of three suites answer the new request, and they add flows by addFlow(), which keeps the log of hashes complete. usesOnlyCompleteAndRecentLists now stands for agents of an earlier version; its checks are the same.

--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -2,6 +2,7 @@
 #define JASMINEARCH_FLOW_AGENT_FLOWS_H
 
 #include "jasminearch/flow/cold_limit.h"
+#include "jasminearch/flow/flow_digest.h"
 #include "jasminearch/flow/histogram.h"
 #include "jasminearch/flow/input_age.h"
 #include "jasminearch/flow/load_report.h"
@@ -272,7 +273,10 @@
   TimePoint UpstreamHeardAt{};
   /// Age of the input that is handled.
   InputAge Input;
+  /// Flows are added by addFlow() only.
   absl::flat_hash_map<FlowKey, AgentFlow> Flows;
+  /// The flows in Flows, and some that it had before.
+  FlowLog Log;
   /// Entry hosts; the index is the low half of the tag in packets to the
   /// upstream.
   std::vector<Endpoint> Entries;
@@ -336,6 +340,9 @@
 /// the current upstream isn't \p Name.
 AnnouncementResult withdraw(AgentFlows &A, const std::string &Name);
 
+/// \returns the entry of \p Flow in Flows, which is added if it is missing.
+AgentFlow &addFlow(AgentFlows &A, const FlowKey &Flow);
+
 /// Stops accepting new flows.
 void stopAcceptingNewFlows(AgentFlows &A);
 
--- a/include/jasminearch/flow/detail/entry_steps.h
+++ b/include/jasminearch/flow/detail/entry_steps.h
@@ -78,10 +78,15 @@
 /// searches that wait for this agent and began before the list was requested.
 void onFlowList(EntryContext &C, const Endpoint &Agent,
                 const FlowListPart &Part);
+/// Handles an agent's answer to a request for its digest. A complete digest
+/// answers all searches that wait for this agent and began before it was
+/// requested, except for flows whose hash is listed.
+void onDigest(EntryContext &C, const Endpoint &Agent,
+              const DigestAnswer &Answer);
 /// Repeats queries that haven't been answered, and ends searches that took too
 /// long.
 void tickSearches(EntryContext &C);
-/// Sends the queued queries if the next round is due.
+/// Sends the queued queries that are due.
 void flushQueries(EntryContext &C);
 
 // entry_budget.cpp
--- a/include/jasminearch/flow/entry_flows.h
+++ b/include/jasminearch/flow/entry_flows.h
@@ -1,6 +1,7 @@
 #ifndef JASMINEARCH_FLOW_ENTRY_FLOWS_H
 #define JASMINEARCH_FLOW_ENTRY_FLOWS_H
 
+#include "jasminearch/flow/flow_digest.h"
 #include "jasminearch/flow/link_budget.h"
 #include "jasminearch/flow/load_report.h"
 #include "jasminearch/flow/packet.h"
@@ -83,11 +84,12 @@
 inline constexpr std::size_t FirstWaveSize = CandidatesPerFlow;
 inline constexpr std::size_t WaveGrowthFactor = 4;
 
-/// The next round of queries waits until the queries and answers of the last
-/// one, together, have taken at most twice the rate of queries. Rounds that
-/// take less than this follow each other without a pause, so that the waves of
-/// a single search aren't delayed.
-inline constexpr std::chrono::milliseconds QueryRoundTolerance{20};
+/// Queries go out at twice QueryBytesPerSecond, with their expected answers
+/// counted, one agent after the other; this much of it may go out at once, so
+/// that the first wave of a search isn't delayed. In a burst to 180 agents, the
+/// queue of a link of 2.1 Mbit/s dropped one answer in ten, so that searches
+/// took four rounds.
+inline constexpr std::chrono::milliseconds QueryBurst{50};
 
 /// If the last MinSearchesForFlowList flows that no upstream held were lost
 /// within this time, searches query all agents at once: most flows that are
@@ -129,10 +131,13 @@
 
 /// An agent's full flow list is requested only if at least this many searches
 /// wait for the agent; queries for fewer flows fit into one small datagram.
-/// While as many searches run, or after as many recent losses, a wave queries
-/// all agents.
+/// After as many recent losses, the first wave queries all agents.
 inline constexpr std::size_t MinSearchesForFlowList = 8;
 
+/// Number of hashes that the next digest of an agent is expected to have if an
+/// earlier one is known.
+inline constexpr std::size_t ExpectedNewHashes = 4;
+
 /// An agent's flow list is kept for this long; no search takes longer.
 inline constexpr std::chrono::milliseconds FlowListLifetime = SearchTimeout;
 
@@ -182,6 +187,7 @@
   /// The newest complete flow list, and the one being received.
   std::optional<FlowList> CompleteList;
   std::optional<FlowList> PartialList;
+  FlowDigest Digest;
 };
 
 /// Cached location of a flow.
@@ -228,8 +234,8 @@
   TimePoint StartedAt{};
   TimePoint RetryDue{};
   std::chrono::milliseconds RetryInterval = LocateRetryInterval;
-  /// Queries wait for the next round. The retry time counts from when the first
-  /// of them is sent.
+  /// Queries wait for their turn. The retry time counts from when the first of
+  /// them is sent.
   bool QueriesQueued = false;
   /// Agents not queried yet, the most likely last.
   std::vector<Endpoint> NotQueried;
@@ -276,6 +282,8 @@
   std::uint64_t FoundNowhere = 0;
   std::uint64_t SearchExpired = 0;
   std::uint64_t SearchOverflow = 0;
+  /// Requests for digests of agents' flows.
+  std::uint64_t Digests = 0;
   std::uint64_t Returned = 0;
   std::uint64_t Probes = 0;
   std::uint64_t ProbesUnanswered = 0;
@@ -309,8 +317,8 @@
   /// Bytes that queries may take now; negative after a large datagram.
   double QueryBudget = MaxQueryBurstBytes;
   TimePoint QueryBudgetAt{};
-  /// When the next round of queries may be sent.
-  TimePoint QueryRoundDue{};
+  /// When the next query may be sent.
+  TimePoint NextQueryDue{};
   /// When the last flows were lost that no upstream held, the latest last; at
   /// most MinSearchesForFlowList.
   std::deque<TimePoint> RecentLosses;
--- a/include/jasminearch/flow/tunnel.h
+++ b/include/jasminearch/flow/tunnel.h
@@ -35,6 +35,10 @@
   ListFlows = 7,
   /// Agent to entry: a FlowListPart.
   FlowList = 8,
+  /// Entry to agent: a DigestRequest. Agents of earlier versions ignore it.
+  ListRecentFlows = 9,
+  /// Agent to entry: a DigestAnswer.
+  RecentFlows = 10,
 };
 
 /// Whether an agent's upstream holds a flow. Answers Locate, and gives the
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -168,7 +168,7 @@
 }
 
 void trackFlow(Context &C, const Packet &P, const Endpoint &Entry) {
-  AgentFlow &F = C.A.Flows[P.Flow];
+  AgentFlow &F = addFlow(C.A, P.Flow);
   F.LastSeen = C.Now;
   F.Entry = Entry;
   if (P.Opens) {
@@ -209,9 +209,9 @@
   if (!isCopy(C, P.Flow))
     recordOpening(C.A.Delivered, C.Now);
   C.A.RecentOpenings.push_back(C.Now);
-  C.A.Flows[P.Flow].Upload = Upload;
+  addFlow(C.A, P.Flow).Upload = Upload;
   trackFlow(C, P, Entry);
-  C.A.Flows[P.Flow].FirstRequestPending = true;
+  C.A.Flows.at(P.Flow).FirstRequestPending = true;
   deliver(C, Entry, P, Raw);
 }
 
@@ -422,13 +422,25 @@
               encodeLocations(Answers));
 }
 
+/// \returns the presence of all flows that aren't in Flows.
+FlowPresence unlistedPresence(const AgentFlows &A) {
+  return knowsAllFlows(A) || upstreamGone(A) ? FlowPresence::No
+                                             : FlowPresence::Unsure;
+}
+
+void onListRecentFlows(Context &C, const Endpoint &Entry,
+                       const DigestRequest &Request) {
+  const DigestAnswer Answer =
+      answerDigest(C.A.Log, C.A.Options.RunId, Request, unlistedPresence(C.A));
+  sendToEntry(C, Entry, TunnelKind::RecentFlows, FlowPresence::No,
+              encodeDigestAnswer(Answer));
+}
+
 /// Sends a list of all flows that the upstream may hold.
 void onListFlows(Context &C, const Endpoint &Entry, std::uint32_t RequestId) {
   FlowListPart Part;
   Part.RequestId = RequestId;
-  Part.UnlistedPresence = knowsAllFlows(C.A) || upstreamGone(C.A)
-                              ? FlowPresence::No
-                              : FlowPresence::Unsure;
+  Part.UnlistedPresence = unlistedPresence(C.A);
   std::vector<FlowLocation> All;
   All.reserve(C.A.Flows.size());
   for (const auto &[Flow, F] : C.A.Flows)
@@ -540,6 +552,12 @@
     endRequest(A, Item.second);
     return true;
   });
+  if (!isTooLong(A.Log, A.Flows.size()))
+    return;
+  ++A.Log.Generation;
+  A.Log.Hashes.clear();
+  for (const auto &[Flow, F] : A.Flows)
+    A.Log.Hashes.push_back(digestHash(Flow));
 }
 
 /// \returns whether an announcement of \p Start, which isn't the current one,
@@ -637,6 +655,13 @@
   return AnnouncementResult::Accepted;
 }
 
+AgentFlow &addFlow(AgentFlows &A, const FlowKey &Flow) {
+  const auto [It, New] = A.Flows.try_emplace(Flow);
+  if (New)
+    A.Log.Hashes.push_back(digestHash(Flow));
+  return It->second;
+}
+
 void stopAcceptingNewFlows(AgentFlows &A) { A.Stopping = true; }
 
 void setEvacuated(AgentFlows &A, bool Evacuated) { A.Evacuated = Evacuated; }
@@ -671,6 +696,10 @@
     if (const auto RequestId = decodeFlowListRequest(Decoded->Payload))
       return onListFlows(C, From, *RequestId);
     break;
+  case TunnelKind::ListRecentFlows:
+    if (const auto Request = decodeDigestRequest(Decoded->Payload))
+      return onListRecentFlows(C, From, *Request);
+    break;
   case TunnelKind::Probe: {
     LoadReport R = buildReport(A, Now);
     R.Number = ++A.ReportNumber;
@@ -701,8 +730,7 @@
   ++A.Counters.ToCallers;
   C.Out.emplace_back(
       SendToCaller{P.Flow.Caller, Bytes(Raw.begin(), Raw.end())});
-  const auto [It, New] = A.Flows.try_emplace(P.Flow);
-  AgentFlow &F = It->second;
+  AgentFlow &F = addFlow(A, P.Flow);
   F.LastSeen = Now;
   if (P.DataBytes != 0)
     recordResponse(A, F, Now);
--- a/src/flow/entry_flows.cpp
+++ b/src/flow/entry_flows.cpp
@@ -209,6 +209,12 @@
     ++E.Counters.Malformed;
     return;
   }
+  if (Header.Kind == TunnelKind::RecentFlows) {
+    if (const auto Answer = decodeDigestAnswer(Decoded->Payload))
+      return onDigest(C, From, *Answer);
+    ++E.Counters.Malformed;
+    return;
+  }
   const auto Locations = decodeLocations(Decoded->Payload);
   if (Header.Kind != TunnelKind::Located || !Locations) {
     ++E.Counters.Malformed;
--- a/src/flow/entry_loop.cpp
+++ b/src/flow/entry_loop.cpp
@@ -148,6 +148,7 @@
   Text.counter("searches_found_nowhere_total", C.FoundNowhere);
   Text.counter("searches_expired_total", C.SearchExpired);
   Text.counter("searches_overflow_total", C.SearchOverflow);
+  Text.counter("flow_digests_requested_total", C.Digests);
   Text.counter("packets_returned_total", C.Returned);
   Text.counter("probes_total", C.Probes);
   Text.counter("probes_unanswered_total", C.ProbesUnanswered);
--- a/src/flow/entry_search.cpp
+++ b/src/flow/entry_search.cpp
@@ -48,19 +48,25 @@
     queueQuery(C.E, Agent, Flow);
 }
 
-/// \returns the presence of \p Flow according to the flow list of \p Agent, or
-/// nothing if there is no list that was requested at or after \p Since.
+/// \returns the presence of \p Flow according to the flow list or the digest of
+/// \p Agent, or nothing if none was requested at or after \p Since, or if only
+/// the agent can tell.
 std::optional<FlowPresence> listedPresence(const EntryContext &C,
                                            const Endpoint &Agent,
                                            const FlowKey &Flow,
                                            TimePoint Since) {
   const auto It = C.E.Agents.find(Agent);
-  if (It == C.E.Agents.end() || !It->second.CompleteList ||
-      It->second.CompleteList->RequestedAt < Since)
+  if (It == C.E.Agents.end())
     return std::nullopt;
-  const FlowList &List = *It->second.CompleteList;
-  const auto Known = List.Flows.find(Flow);
-  return Known == List.Flows.end() ? List.UnlistedPresence : Known->second;
+  const AgentView &View = It->second;
+  if (View.CompleteList && View.CompleteList->RequestedAt >= Since) {
+    const FlowList &List = *View.CompleteList;
+    const auto Known = List.Flows.find(Flow);
+    return Known == List.Flows.end() ? List.UnlistedPresence : Known->second;
+  }
+  if (matchDigest(View.Digest, Flow, Since) == DigestMatch::NotListed)
+    return View.Digest.UnlistedPresence;
+  return std::nullopt;
 }
 
 void completeSearch(EntryContext &C, const FlowKey &Flow,
@@ -76,16 +82,16 @@
 
 /// \returns the number of agents that the next wave of \p S queries.
 std::size_t nextWaveSize(const EntryContext &C, const Search &S) {
-  // Where the likely agents are sure that they don't hold the flows, these are
-  // lost. Unsure agents may hold them: all processes but the upstreams have
-  // restarted, and larger waves would only load the agents.
+  // Where the likely agents are sure that they don't hold the flow, it is most
+  // likely lost, and further waves would only delay the reset. Unsure agents
+  // may hold it: all processes but the upstreams have restarted, and larger
+  // waves would only load the agents.
   const bool FirstSaidNo = S.WaveSize > FirstWaveSize &&
                            S.NotAnswered.empty() && S.Unsure.empty() &&
                            S.TryGroupSize == FirstWaveSize;
-  const bool All =
-      afterMassLoss(C) ||
-      (FirstSaidNo && C.E.Searches.size() >= MinSearchesForFlowList);
-  return All ? S.NotQueried.size() : std::min(S.WaveSize, S.NotQueried.size());
+  return FirstSaidNo || afterMassLoss(C)
+             ? S.NotQueried.size()
+             : std::min(S.WaveSize, S.NotQueried.size());
 }
 
 /// Queries the next wave of agents, except those whose flow list already has
@@ -256,10 +262,26 @@
              : UnknownListSize;
 }
 
-/// Queries \p Agent for those of \p Queued that are still searched for.
-/// \returns the bytes that the queries and their answers are expected to take.
-std::size_t sendQueries(EntryContext &C, const Endpoint &Agent,
-                        const absl::flat_hash_set<FlowKey> &Queued) {
+/// \returns the bytes that the hashes of a digest of \p Agent and what comes
+/// with them are expected to take, besides the overhead of the datagrams.
+std::size_t expectedDigestSize(const EntryFlows &E, const Endpoint &Agent) {
+  const auto It = E.Agents.find(Agent);
+  const bool IsKnown = It != E.Agents.end() && It->second.Digest.CompleteAt;
+  const std::size_t Hashes =
+      IsKnown ? ExpectedNewHashes : expectedListSize(E, Agent);
+  return DigestRequestBytes + DigestHeaderBytes + Hashes * DigestHashBytes;
+}
+
+void sendDigestRequest(EntryContext &C, const Endpoint &Agent, FlowDigest &D) {
+  ++C.E.Counters.Digests;
+  C.E.QueryBudget -= QueryOverheadBytes + DigestRequestBytes;
+  sendMessage(C, Agent, TunnelKind::ListRecentFlows,
+              encodeDigestRequest(requestDigest(D, C.Now)));
+}
+
+/// \returns the flows of \p Queued that are still searched for.
+std::vector<FlowKey> takeSearched(EntryContext &C,
+                                  const absl::flat_hash_set<FlowKey> &Queued) {
   std::vector<FlowKey> Flows;
   for (const FlowKey &Flow : Queued) {
     const auto It = C.E.Searches.find(Flow);
@@ -269,12 +291,52 @@
     if (std::exchange(It->second.QueriesQueued, false))
       It->second.RetryDue = C.Now + It->second.RetryInterval;
   }
-  if (Flows.empty())
+  return Flows;
+}
+
+/// Requests a digest for the flows of \p Flows that it can answer, if that
+/// takes fewer bytes than queries, and removes them. Flows whose hash is listed
+/// have to be queried. \returns the expected bytes.
+std::size_t queryByDigest(EntryContext &C, const Endpoint &Agent,
+                          std::vector<FlowKey> &Flows) {
+  const auto View = C.E.Agents.find(Agent);
+  if (View == C.E.Agents.end())
+    return 0;
+  FlowDigest &D = View->second.Digest;
+  const auto Rest =
+      std::partition(Flows.begin(), Flows.end(), [&](const FlowKey &Flow) {
+        const TimePoint Since = C.E.Searches.at(Flow).StartedAt;
+        return matchDigest(D, Flow, Since) == DigestMatch::Listed;
+      });
+  const auto Count = static_cast<std::size_t>(Flows.end() - Rest);
+  const std::size_t Size = expectedDigestSize(C.E, Agent);
+  // After a mass loss, the next searches need the digest, too.
+  const bool IsWorthwhile =
+      Count * (FlowKeyBytes + FlowAnswerBytes) > Size || afterMassLoss(C);
+  if (Count == 0 || !IsWorthwhile)
     return 0;
+  const DigestUse Use = digestUse(D, C.Now, LocateRetryInterval);
+  if (Use == DigestUse::Unavailable)
+    return 0;
+  Flows.erase(Rest, Flows.end());
+  if (Use == DigestUse::Await)
+    return 0;
+  sendDigestRequest(C, Agent, D);
+  return 2 * QueryOverheadBytes + Size;
+}
+
+/// Queries \p Agent for those of \p Queued that are still searched for.
+/// \returns the bytes that the queries and their answers are expected to take.
+std::size_t sendQueries(EntryContext &C, const Endpoint &Agent,
+                        const absl::flat_hash_set<FlowKey> &Queued) {
+  std::vector<FlowKey> Flows = takeSearched(C, Queued);
+  const std::size_t DigestBytes = queryByDigest(C, Agent, Flows);
+  if (Flows.empty())
+    return DigestBytes;
   if (isListSmaller(C.E, Agent, Flows.size())) {
     C.E.QueryBudget -= QueryOverheadBytes;
     requestFlowList(C, Agent);
-    return 2 * QueryOverheadBytes +
+    return DigestBytes + 2 * QueryOverheadBytes +
            expectedListSize(C.E, Agent) * FlowAnswerBytes;
   }
   for (std::size_t From = 0; From < Flows.size(); From += MaxFlowsPerDatagram) {
@@ -286,10 +348,26 @@
         static_cast<double>(QueryOverheadBytes + Part.size() * FlowKeyBytes);
     sendMessage(C, Agent, TunnelKind::Locate, encodeFlowKeys(Part));
   }
-  return 2 * QueryOverheadBytes +
+  return DigestBytes + 2 * QueryOverheadBytes +
          Flows.size() * (FlowKeyBytes + FlowAnswerBytes);
 }
 
+/// Answers the searches that wait for \p Agent by its flow list or digest, and
+/// queues queries for the others.
+void answerSearches(EntryContext &C, const Endpoint &Agent) {
+  std::vector<FlowLocation> Answers;
+  for (const auto &[Flow, S] : C.E.Searches) {
+    if (!contains(S.NotAnswered, Agent))
+      continue;
+    if (const auto Presence = listedPresence(C, Agent, Flow, S.StartedAt))
+      Answers.push_back({Flow, *Presence});
+    else
+      queueQuery(C.E, Agent, Flow);
+  }
+  for (const FlowLocation &Answer : Answers)
+    onLocated(C, Agent, Answer.Presence, Answer.Flow);
+}
+
 /// Continues a search whose retry is due, also without the answers of agents
 /// that are silent: another one may hold the flow.
 void continueAtRetry(EntryContext &C, const FlowKey &Flow) {
@@ -313,8 +391,10 @@
   if (It == C.E.Searches.end() || !It->second.Tried.empty())
     return;
   Search &S = It->second;
-  const bool TriedBefore = S.TryGroupSize > FirstWaveSize;
-  if (!S.Unsure.empty() && (S.NotAnswered.empty() || TriedBefore))
+  // A full group doesn't wait for the answers of the other agents.
+  const bool IsDue = S.NotAnswered.empty() || S.TryGroupSize > FirstWaveSize ||
+                     S.Unsure.size() >= S.TryGroupSize;
+  if (!S.Unsure.empty() && IsDue)
     return tryNextGroup(C, Flow, S);
   if (!S.NotAnswered.empty())
     return;
@@ -376,17 +456,23 @@
       !addPart(*View.PartialList, Part))
     return;
   View.CompleteList = std::exchange(View.PartialList, std::nullopt);
-  std::vector<FlowLocation> Answers;
-  for (const auto &[Flow, S] : C.E.Searches) {
-    if (!contains(S.NotAnswered, Agent))
-      continue;
-    if (const auto Presence = listedPresence(C, Agent, Flow, S.StartedAt))
-      Answers.push_back({Flow, *Presence});
-    else
-      queueQuery(C.E, Agent, Flow);
+  answerSearches(C, Agent);
+}
+
+void onDigest(EntryContext &C, const Endpoint &Agent,
+              const DigestAnswer &Answer) {
+  const auto It = C.E.Agents.find(Agent);
+  if (It == C.E.Agents.end())
+    return;
+  FlowDigest &D = It->second.Digest;
+  switch (mergeDigest(D, Answer)) {
+  case DigestProgress::Outdated:
+    return;
+  case DigestProgress::Partial:
+    return sendDigestRequest(C, Agent, D);
+  case DigestProgress::Complete:
+    return answerSearches(C, Agent);
   }
-  for (const FlowLocation &Answer : Answers)
-    onLocated(C, Agent, Answer.Presence, Answer.Flow);
 }
 
 void tickSearches(EntryContext &C) {
@@ -424,22 +510,20 @@
 void flushQueries(EntryContext &C) {
   refillQueryBudget(C);
   EntryFlows &E = C.E;
-  if (C.Now + QueryRoundTolerance < E.QueryRoundDue)
-    return;
-  std::size_t RoundBytes = 0;
-  while (!E.QueryOrder.empty() && E.QueryBudget > 0) {
+  const double Rate = 2 * queryBytesPerSecond(E.Budget);
+  while (!E.QueryOrder.empty() && E.QueryBudget > 0 &&
+         C.Now + QueryBurst >= E.NextQueryDue) {
     const Endpoint Agent = E.QueryOrder.front();
     E.QueryOrder.pop_front();
     const auto Queued = E.QueuedQueries.extract(Agent);
-    if (!Queued.empty())
-      RoundBytes += sendQueries(C, Agent, Queued.mapped());
+    if (Queued.empty())
+      continue;
+    const std::chrono::duration<double> Pause(
+        static_cast<double>(sendQueries(C, Agent, Queued.mapped())) / Rate);
+    E.NextQueryDue =
+        std::max(E.NextQueryDue, C.Now) +
+        std::chrono::duration_cast<std::chrono::microseconds>(Pause);
   }
-  const double Rate = 2 * queryBytesPerSecond(E.Budget);
-  const std::chrono::duration<double> Pause(static_cast<double>(RoundBytes) /
-                                            Rate);
-  E.QueryRoundDue =
-      std::max(E.QueryRoundDue, C.Now) +
-      std::chrono::duration_cast<std::chrono::microseconds>(Pause);
 }
 
 } // namespace jasminearch::flow::detail
--- a/src/flow/tunnel.cpp
+++ b/src/flow/tunnel.cpp
@@ -142,7 +142,7 @@
   const std::uint8_t Kind = Layout.Kind.value();
   const std::uint8_t Detail = Layout.Detail.value();
   if (Kind < static_cast<std::uint8_t>(TunnelKind::Forward) ||
-      Kind > static_cast<std::uint8_t>(TunnelKind::FlowList) ||
+      Kind > static_cast<std::uint8_t>(TunnelKind::RecentFlows) ||
       Detail > static_cast<std::uint8_t>(FlowPresence::NotReady))
     return malformed("tunnel datagram has an unknown kind or detail");
   TunnelDatagram Decoded;
--- a/tests/flow_entry_test.cpp
+++ b/tests/flow_entry_test.cpp
@@ -134,6 +134,10 @@
 
   /// Lets the agents answer all queries in \p Sent with "not held".
   void answerThatNothingIsHeld(const EntryEffects &Sent) {
+    for (const SentTunnel &Query :
+         tunnels<EntryEffects, SendTunnel>(Sent, TunnelKind::ListRecentFlows))
+      onTunnel(E, Query.To, digestWithoutFlows(Query, FlowPresence::No), Now,
+               Out);
     for (const SentTunnel &Query :
          tunnels<EntryEffects, SendTunnel>(Sent, TunnelKind::ListFlows))
       list(Query.To.Address - agentAt(0).Address,
@@ -249,6 +253,11 @@
     constexpr std::uint16_t Flows = MinSearchesForFlowList;
     begin(1);
     sendDataOfUnknownFlows(Flows);
+    CPPUNIT_ASSERT(listRequests().empty());
+    // An agent of an earlier version doesn't answer the request for a digest.
+    Now += LocateRetryInterval;
+    tick(E, Now, Out);
+    flush(E, Now, Out);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listRequests().size());
     const std::uint32_t RequestId =
         *decodeFlowListRequest(listRequests().at(0).Payload);
--- a/tests/flow_search_test.cpp
+++ b/tests/flow_search_test.cpp
@@ -87,6 +87,10 @@
            tunnels<EntryEffects, SendTunnel>(Sent, TunnelKind::Locate))
         if (numberOf(Query.To) <= Last)
           located(numberOf(Query.To), *decodeFlowKeys(Query.Payload), Presence);
+      for (const SentTunnel &Query :
+           tunnels<EntryEffects, SendTunnel>(Sent, TunnelKind::ListRecentFlows))
+        if (numberOf(Query.To) <= Last)
+          onTunnel(E, Query.To, digestWithoutFlows(Query, Presence), Now, Out);
       for (const SentTunnel &Query :
            tunnels<EntryEffects, SendTunnel>(Sent, TunnelKind::ListFlows))
         if (numberOf(Query.To) <= Last)
--- a/tests/flow_support.h
+++ b/tests/flow_support.h
@@ -3,6 +3,7 @@
 
 #include "jasminearch/flow/agent_flows.h"
 #include "jasminearch/flow/entry_flows.h"
+#include "jasminearch/flow/flow_digest.h"
 #include <cstring>
 #include <optional>
 #include <string>
@@ -173,6 +174,15 @@
   return Found;
 }
 
+/// The answer of an agent without flows to a request for its digest.
+inline Bytes digestWithoutFlows(const SentTunnel &Request,
+                                FlowPresence Presence) {
+  return encodeTunnel(
+      {TunnelKind::RecentFlows, FlowPresence::No, 0},
+      encodeDigestAnswer(answerDigest(
+          {}, 1, *decodeDigestRequest(Request.Payload), Presence)));
+}
+
 inline std::vector<SentTunnel> forwards(const EntryEffects &All) {
   return tunnels<EntryEffects, SendTunnel>(All, TunnelKind::Forward);
 }
--- a/tests/mass_loss_test.cpp
+++ b/tests/mass_loss_test.cpp
@@ -68,10 +68,16 @@
     announce(H.Agent, A, Now);
   }
 
+  /// The agent has restarted and hasn't seen its upstream's flows.
+  static void forgetFlows(AgentFlows &A) {
+    A.Flows.clear();
+    A.Log = {};
+  }
+
   /// Lets the upstream of \p H hold a flow that its agent has seen opening.
   void hold(SimulatedHost &H, std::uint16_t Port) {
     H.HeldPorts.insert(Port);
-    AgentFlow &F = H.Agent.Flows[{caller(Port), ServiceAddress}];
+    AgentFlow &F = addFlow(H.Agent, {caller(Port), ServiceAddress});
     F.Confirmed = true;
     F.LastSeen = Now;
   }
@@ -226,6 +232,7 @@
   CPPUNIT_TEST_SUITE(MassLossTest);
   CPPUNIT_TEST(resetsLostFlowsInTime);
   CPPUNIT_TEST(bytesDoNotGrowWithTheNumberOfFlows);
+  CPPUNIT_TEST(resetsLostFlowsBesideManyOpenOnes);
   CPPUNIT_TEST(findsOpenFlowsAmongLostOnes);
   CPPUNIT_TEST(neverResetsAnOpenFlow);
   CPPUNIT_TEST_SUITE_END();
@@ -258,6 +265,25 @@
       CPPUNIT_ASSERT(After <= 500ms);
   }
 
+  /// Load: seconds after the return, most callers have new flows, and the
+  /// others find out one after the other that theirs are lost. Guards against
+  /// queries for all of them to agents that have too many flows to list: no
+  /// search ended before SearchTimeout, and the next packet of its caller began
+  /// another one.
+  void resetsLostFlowsBesideManyOpenOnes() {
+    constexpr std::uint16_t OpenPerAgent = 33;
+    constexpr std::uint16_t FirstOpen = 10'000;
+    MassLossSimulation S(4);
+    std::uint16_t Port = FirstOpen;
+    for (SimulatedHost &H : S.Hosts)
+      for (std::uint16_t I = 0; I < OpenPerAgent; ++I)
+        S.hold(H, ++Port);
+    const std::uint16_t Flows = sendOnLostFlows(S, FlowsAtOnce, 25);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{Flows}, S.ResetAfter.size());
+    for (const auto &[Lost, After] : S.ResetAfter)
+      CPPUNIT_ASSERT(After <= 500ms);
+  }
+
   /// Guards against searches that fill the link: their bytes grow with time and
   /// agents, not with flows times agents. A narrow link takes 0.3 s for the
   /// packets of a thousand callers, so that a hundred return in the same time.
@@ -291,7 +317,7 @@
         S.startAgent(H, false);
       S.hold(H, FirstOpen + I);
       if (I % 2 == 0)
-        H.Agent.Flows.clear();
+        MassLossSimulation::forgetFlows(H.Agent);
       S.callerSends(FirstOpen + I);
     }
     sendOnLostFlows(S, FlowsAtOnce, 8);
@@ -324,7 +350,7 @@
           S.startAgent(H, false);
         S.hold(H, FirstOpen + I);
         if (Restarted)
-          H.Agent.Flows.clear();
+          MassLossSimulation::forgetFlows(H.Agent);
         H.StartsAt = S.Now + std::chrono::milliseconds(Number(3) * 350);
         if (!Calm && Number(10) == 0)
           H.StopsAt = S.Now + std::chrono::milliseconds(Number(1000));
