review: case 9, late heartbeats put a leaving server into service again

Claim: two late heartbeats of a server that has reported since that it leaves, with lower sequences, put its older state in force, and it gets new flows more than drain_ms after the acknowledgement (DRAIN).

--- a/review/standins-2.cpp
+++ b/review/standins-2.cpp
@@ -500,8 +500,10 @@
   Out << "{\"service\":\"" << Service << "\",\"address\":\"" << N.side(Side)
       << ":" << N.App
       << "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"concurrency_limit\":4,"
-         "\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":"
-      << ++Sequence << ",\"born\":" << Born << "}";
+         "\"state\":\""
+      << (Draining ? "draining" : "ready")
+      << "\",\"cold_remaining_ms\":0,\"sequence\":" << ++Sequence
+      << ",\"born\":" << Born << "}";
   return Out.str();
 }
 
@@ -511,6 +513,7 @@
     const Net &N = W.net();
     auto Due = Clock::now();
     while (Beating) {
+      const bool Leaving = Draining;
       const std::string Body = nextHeartbeat();
       const auto Answer =
           httpCall(N.side(Side), N.Control, "PUT", "/instances/" + Id, Body,
@@ -518,6 +521,8 @@
       W.log().line("heartbeat of " + Id + " sequence " +
                    std::to_string(Sequence) + ": " +
                    (Answer ? std::to_string(Answer->Status) : "no answer"));
+      if (Leaving && Answer && Answer->Status == 200 && DrainAcknowledgedAt < 0)
+        DrainAcknowledgedAt = W.log().now().count();
       Due += milliseconds(IntervalMs);
       while (Beating && Clock::now() < Due)
         std::this_thread::sleep_for(milliseconds(5));
@@ -531,6 +536,11 @@
     Beats.join();
 }
 
+std::optional<milliseconds> Server::drainAcknowledged() const {
+  const std::int64_t At = DrainAcknowledgedAt;
+  return At < 0 ? std::nullopt : std::optional(milliseconds(At));
+}
+
 bool Server::holds(const End &Caller, const End &Route) const {
   const auto Found = Flows.find({Caller, Route});
   return Found != Flows.end() && Found->second.Open && !Found->second.Finished;
@@ -573,6 +583,7 @@
       F.Expected = P.Seq + 1;
       F.OwnSeq = W.random();
       F.Next = F.OwnSeq + 1;
+      F.OpenedAt = W.log().now();
       Found = Flows.emplace(Key, F).first;
     }
     const Flow &F = Found->second;
@@ -603,7 +614,7 @@
       const auto From = P.Data.find("X-Request-Id: ");
       const std::string RequestId =
           P.Data.substr(From + 14, P.Data.find("\r\n", From) - From - 14);
-      W.noteRun({W.log().now(), Service, Side, RequestId, P.To});
+      W.noteRun({W.log().now(), F.OpenedAt, Service, Side, RequestId, P.To});
       const std::string Body = "done " + RequestId + " by " + Id;
       F.LastAnswer = "HTTP/1.1 200 OK\r\nX-Server-Signature: " + Id +
                      "\r\nContent-Length: " + std::to_string(Body.size()) +
@@ -814,6 +825,11 @@
       request(F->Port, First);
     return;
   }
+  if ((P.Flags & Fin) != 0 && F->Pending.empty()) {
+    sendFromCaller(*F, Fin | Ack, F->Seq, P.Seq + 1, "");
+    F->State = CallerFlow::Phase::Closed;
+    return;
+  }
   if (P.Data.empty() || P.Seq != F->PeerNext || F->Pending.empty())
     return;
   F->PeerNext += static_cast<std::uint32_t>(P.Data.size());
--- a/review/standins-2.h
+++ b/review/standins-2.h
@@ -160,6 +160,8 @@
 /// What happened, for the verdicts.
 struct Ran {
   milliseconds At{0};
+  /// When the server took the opening packet of the flow.
+  milliseconds OpenedAt{0};
   std::string Service;
   int Side = 0;
   std::string RequestId;
@@ -187,6 +189,11 @@
   /// Starts the thread that sends heartbeats, the first at once.
   void startHeartbeats(int IntervalMs);
   void stopHeartbeats();
+  /// Reports from now on that it leaves, and closes each flow after its next
+  /// response. It goes on taking flows.
+  void drain() { Draining = true; }
+  /// When the first heartbeat was acknowledged that said so.
+  std::optional<milliseconds> drainAcknowledged() const;
   void poll();
   int side() const { return Side; }
   const std::string &service() const { return Service; }
@@ -204,6 +211,7 @@
     std::uint32_t Next = 0;
     bool Open = false;
     bool Finished = false;
+    milliseconds OpenedAt{0};
     std::string LastAnswer;
     std::uint32_t LastAnswerSeq = 0;
   };
@@ -223,6 +231,9 @@
   std::map<std::pair<End, End>, Flow> Flows;
   std::thread Beats;
   std::atomic<bool> Beating{false};
+  std::atomic<bool> Draining{false};
+  /// In milliseconds; negative before it.
+  std::atomic<std::int64_t> DrainAcknowledgedAt{-1};
 };
 
 /// One flow of a caller.
