--- a/review/8/main.cpp
+++ b/review/8/main.cpp
@@ -1,9 +1,7 @@
 #include "../standins-2.h"
 #include <csignal>
-#include <cstdlib>
-#include <cstring>
-#include <iostream>
 #include <string>
+#include <vector>
 
 /// A daemon beside a server restarts, and a heartbeat that a partition delayed
 /// reaches it before the running server's next one. Its sender, of another
@@ -16,6 +14,8 @@
 constexpr int OrdersRoute = 1;
 constexpr int CatalogueRoute = 2;
 constexpr int CutSide = 2;
+/// Two of three flows are for the service whose server is replaced.
+const std::vector<int> Routes = {OrdersRoute, OrdersRoute, CatalogueRoute};
 constexpr int ControlCount = 3;
 constexpr int EntryCount = 2;
 constexpr int SideCount = 6;
@@ -33,15 +33,6 @@
 /// Just over reuse_after_s.
 constexpr milliseconds ReuseDelay{2050};
 
-/// Opens short flows on both routes until \p Until.
-void openFlowsUntil(World &W, Clock::time_point Until, int &Number) {
-  while (Clock::now() < Until) {
-    for (const int Route : {OrdersRoute, OrdersRoute, CatalogueRoute})
-      W.openFlow(Route, 0, true, "q" + std::to_string(++Number));
-    W.run(milliseconds(25));
-  }
-}
-
 int runCase(bool Trouble, const std::string &RecordFile) {
   Record Log(RecordFile);
   Deployment D(chooseNet(), ControlCount, EntryCount, SideCount, HeartbeatMs,
@@ -66,29 +57,30 @@
   if (!W.waitReady(ReadyLimit))
     return 2;
   int Number = 0;
-  openFlowsUntil(W, Clock::now() + milliseconds(4000), Number);
+  openFlowsUntil(W, Clock::now() + milliseconds(4000), Routes, Number);
 
   // The partition between the server and the daemon beside it.
   Old.stopHeartbeats();
   const std::string Held = Old.nextHeartbeat();
   const auto ArrivesAt = Clock::now() + Delay;
   Log.line("heartbeat is held up: " + Held);
-  openFlowsUntil(W, Clock::now() + milliseconds(200), Number);
+  openFlowsUntil(W, Clock::now() + milliseconds(200), Routes, Number);
   W.stopServer(CutSide);
-  openFlowsUntil(W, Clock::now() + ReuseDelay, Number);
+  openFlowsUntil(W, Clock::now() + ReuseDelay, Routes, Number);
   D.setService(CutSide, "catalogue");
   // Its third heartbeat follows the delayed one by Lead.
-  openFlowsUntil(W, ArrivesAt + Lead - 2 * milliseconds(HeartbeatMs), Number);
+  openFlowsUntil(W, ArrivesAt + Lead - 2 * milliseconds(HeartbeatMs), Routes,
+                 Number);
   W.startServer(CutSide, "i-new", "catalogue").startHeartbeats(HeartbeatMs);
 
-  openFlowsUntil(W, ArrivesAt - KillLead, Number);
+  openFlowsUntil(W, ArrivesAt - KillLead, Routes, Number);
   const std::string Daemon = "s" + std::to_string(CutSide);
   if (Trouble) {
     D.end(Daemon, SIGKILL);
-    openFlowsUntil(W, Clock::now() + DownTime, Number);
+    openFlowsUntil(W, Clock::now() + DownTime, Routes, Number);
     D.start(Daemon);
   }
-  openFlowsUntil(W, ArrivesAt, Number);
+  openFlowsUntil(W, ArrivesAt, Routes, Number);
   std::thread Call([&Log, &N, &Held, Trouble] {
     if (!Trouble)
       return;
@@ -98,7 +90,7 @@
     Log.line("delayed heartbeat arrived, answer " +
              (Answer ? std::to_string(Answer->Status) : "none"));
   });
-  openFlowsUntil(W, Clock::now() + milliseconds(4000), Number);
+  openFlowsUntil(W, Clock::now() + milliseconds(4000), Routes, Number);
   Call.join();
 
   int Wrong = 0;
@@ -124,11 +116,4 @@
 
 } // namespace
 
-int main(int Argc, char **Argv) {
-  if (Argc != 2) {
-    std::cerr << "usage: case-8 RECORD\n";
-    return 2;
-  }
-  const char *Trouble = std::getenv("TROUBLE");
-  return runCase(Trouble == nullptr || std::strcmp(Trouble, "0") != 0, Argv[1]);
-}
+int main(int Argc, char **Argv) { return review::runMain(Argc, Argv, runCase); }
--- a/review/9/main.cpp
+++ b/review/9/main.cpp
@@ -1,7 +1,4 @@
 #include "../standins-2.h"
-#include <cstdlib>
-#include <cstring>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -14,6 +11,7 @@
 constexpr int HeartbeatMs = 1200;
 constexpr int OrdersRoute = 1;
 constexpr int LeavingSide = 2;
+const std::vector<int> Routes = {OrdersRoute, OrdersRoute};
 constexpr int ControlCount = 3;
 constexpr int EntryCount = 2;
 constexpr int SideCount = 6;
@@ -30,15 +28,6 @@
 constexpr milliseconds FirstArrival{50};
 constexpr milliseconds SecondArrival{650};
 
-/// Opens short flows until \p Until.
-void openFlowsUntil(World &W, Clock::time_point Until, int &Number) {
-  while (Clock::now() < Until) {
-    for (int I = 0; I < 2; ++I)
-      W.openFlow(OrdersRoute, 0, true, "q" + std::to_string(++Number));
-    W.run(milliseconds(20));
-  }
-}
-
 int runCase(bool Trouble, const std::string &RecordFile) {
   Record Log(RecordFile);
   Deployment D(chooseNet(), ControlCount, EntryCount, SideCount, HeartbeatMs,
@@ -57,7 +46,7 @@
   if (!W.waitReady(ReadyLimit))
     return 2;
   int Number = 0;
-  openFlowsUntil(W, Clock::now() + milliseconds(4000), Number);
+  openFlowsUntil(W, Clock::now() + milliseconds(4000), Routes, Number);
 
   // The partition between the server and the daemon beside it.
   Server &Leaving = *W.server(LeavingSide);
@@ -66,7 +55,7 @@
   for (int I = 0; I < DelayedBeats; ++I) {
     Held.push_back(Leaving.nextHeartbeat());
     Log.line("heartbeat is held up: " + Held.back());
-    openFlowsUntil(W, Clock::now() + CallInterval, Number);
+    openFlowsUntil(W, Clock::now() + CallInterval, Routes, Number);
   }
   Log.line("the partition ends, and the server begins to leave");
   Leaving.drain();
@@ -78,7 +67,7 @@
                                          Base + SecondArrival};
   std::vector<std::thread> Calls;
   for (int I = 0; I < DelayedBeats; ++I) {
-    openFlowsUntil(W, ArrivesAt[I], Number);
+    openFlowsUntil(W, ArrivesAt[I], Routes, Number);
     if (Trouble)
       Calls.emplace_back([&Log, &N, Body = Held[I]] {
         const auto Answer =
@@ -89,7 +78,7 @@
                  (Answer ? std::to_string(Answer->Status) : "none"));
       });
   }
-  openFlowsUntil(W, Clock::now() + milliseconds(2000), Number);
+  openFlowsUntil(W, Clock::now() + milliseconds(2000), Routes, Number);
   for (std::thread &T : Calls)
     T.join();
 
@@ -115,11 +104,4 @@
 
 } // namespace
 
-int main(int Argc, char **Argv) {
-  if (Argc != 2) {
-    std::cerr << "usage: case-9 RECORD\n";
-    return 2;
-  }
-  const char *Trouble = std::getenv("TROUBLE");
-  return runCase(Trouble == nullptr || std::strcmp(Trouble, "0") != 0, Argv[1]);
-}
+int main(int Argc, char **Argv) { return review::runMain(Argc, Argv, runCase); }
--- a/review/standins-2.cpp
+++ b/review/standins-2.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <iostream>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sstream>
@@ -881,4 +882,23 @@
   return false;
 }
 
+void openFlowsUntil(World &W, Clock::time_point Until,
+                    const std::vector<int> &Routes, int &Number) {
+  while (Clock::now() < Until) {
+    for (const int Route : Routes)
+      W.openFlow(Route, 0, true, "q" + std::to_string(++Number));
+    W.run(milliseconds(25));
+  }
+}
+
+int runMain(int Argc, char **Argv,
+            int (*Case)(bool Trouble, const std::string &RecordFile)) {
+  if (Argc != 2) {
+    std::cerr << "usage: " << Argv[0] << " RECORD\n";
+    return 2;
+  }
+  const char *Trouble = std::getenv("TROUBLE");
+  return Case(Trouble == nullptr || std::strcmp(Trouble, "0") != 0, Argv[1]);
+}
+
 } // namespace review
--- a/review/standins-2.h
+++ b/review/standins-2.h
@@ -321,6 +321,16 @@
   std::thread Readiness;
 };
 
+/// Opens one short flow on each of \p Routes every 25 ms until \p Until.
+/// \param Number Number of the last request; increases.
+void openFlowsUntil(World &W, Clock::time_point Until,
+                    const std::vector<int> &Routes, int &Number);
+
+/// Runs a case with the record's file as its argument, and without the
+/// disruption if TROUBLE is 0. \returns the exit status.
+int runMain(int Argc, char **Argv,
+            int (*Case)(bool Trouble, const std::string &RecordFile));
+
 std::uint32_t toAddress(const std::string &Text);
 std::string encode(const Packet &P);
 std::optional<Packet> decode(const std::string &Raw);
