review: case 9, a restarted daemon denies the flows that it gave a server

The new process takes it that it knows all flows and denies these; they are reset once they are used again (FLOW).

--- a/review/9/main.cpp
+++ b/review/9/main.cpp
@@ -1,32 +1,33 @@
 #include "../standins-2.h"
+#include <csignal>
 #include <string>
 #include <vector>
 
-/// Late heartbeats of a server, from before it reported that it leaves, arrive
-/// after that report was acknowledged.
+/// A server crashes and is back within its lease. The daemon beside it is
+/// stopped and started, as planned work, after the server has taken flows and
+/// before its first heartbeat.
 namespace {
 
 using namespace review;
 
-constexpr int HeartbeatMs = 1200;
+constexpr int HeartbeatMs = 770;
 constexpr int OrdersRoute = 1;
-constexpr int LeavingSide = 2;
-const std::vector<int> Routes = {OrdersRoute, OrdersRoute};
+constexpr int MetSide = 2;
 constexpr int ControlCount = 3;
 constexpr int EntryCount = 2;
-constexpr int SideCount = 6;
+constexpr int SideCount = 8;
+constexpr int FlowCount = 70;
+constexpr int FlowsAtOnce = 7;
 constexpr milliseconds ConfigLimit{20000};
 constexpr milliseconds ReadyLimit{20000};
-constexpr milliseconds DrainBound{3000};
-/// Time between two calls of a server that gets no answer.
-constexpr milliseconds CallInterval{1100};
-/// Number of heartbeats that the partition holds up.
-constexpr int DelayedBeats = 2;
-/// The late heartbeats arrive after the fifth one that says that the server
-/// leaves: more than contact_ms after the partition.
-constexpr int BeatsBefore = 4;
-constexpr milliseconds FirstArrival{50};
-constexpr milliseconds SecondArrival{650};
+/// How long the server is away.
+constexpr milliseconds AwayTime{300};
+/// For how long it takes flows before the daemon is stopped.
+constexpr milliseconds OpenTime{150};
+/// When its first heartbeat is due, after its start.
+constexpr milliseconds FirstBeat{760};
+/// Pause of the flows, longer than contact_ms.
+constexpr milliseconds IdleTime{6000};
 
 int runCase(bool Trouble, const std::string &RecordFile) {
   Record Log(RecordFile);
@@ -36,70 +37,53 @@
     D.setService(I, "orders");
   D.startAll();
   World W(D, Log);
-  const Net &N = D.net();
-  if (putConfig(D, configBody(N, 1, {{OrdersRoute, "orders"}}, {"orders"}), Log,
-                ConfigLimit) != 200)
+  if (putConfig(D,
+                configBody(D.net(), 1, {{OrdersRoute, "orders"}}, {"orders"}),
+                Log, ConfigLimit) != 200)
     return 2;
   for (int I = 1; I <= SideCount; ++I)
     W.startServer(I, "i-" + std::to_string(I), "orders")
         .startHeartbeats(HeartbeatMs);
   if (!W.waitReady(ReadyLimit))
     return 2;
-  int Number = 0;
-  openFlowsUntil(W, Clock::now() + milliseconds(4000), Routes, Number);
-
-  // The partition between the server and the daemon beside it.
-  Server &Leaving = *W.server(LeavingSide);
-  Leaving.stopHeartbeats();
-  std::vector<std::string> Held;
-  for (int I = 0; I < DelayedBeats; ++I) {
-    Held.push_back(Leaving.nextHeartbeat());
-    Log.line("heartbeat is held up: " + Held.back());
-    openFlowsUntil(W, Clock::now() + CallInterval, Routes, Number);
+  W.run(milliseconds(4000));
+  if (Trouble) {
+    W.stopServer(MetSide);
+    W.run(AwayTime);
+    W.startServer(MetSide, "i-" + std::to_string(MetSide), "orders");
   }
-  Log.line("the partition ends, and the server begins to leave");
-  Leaving.drain();
-  const auto FirstBeat = Clock::now();
-  Leaving.startHeartbeats(HeartbeatMs);
-
-  const auto Base = FirstBeat + BeatsBefore * milliseconds(HeartbeatMs);
-  const Clock::time_point ArrivesAt[] = {Base + FirstArrival,
-                                         Base + SecondArrival};
-  std::vector<std::thread> Calls;
-  for (int I = 0; I < DelayedBeats; ++I) {
-    openFlowsUntil(W, ArrivesAt[I], Routes, Number);
-    if (Trouble)
-      Calls.emplace_back([&Log, &N, Body = Held[I]] {
-        const auto Answer =
-            httpCall(N.side(LeavingSide), N.Control, "PUT",
-                     "/instances/i-" + std::to_string(LeavingSide), Body,
-                     HeartbeatAnswerLimit);
-        Log.line("late heartbeat arrived, answer " +
-                 (Answer ? std::to_string(Answer->Status) : "none"));
-      });
+  const auto StartedAt = Clock::now();
+  std::vector<std::uint16_t> Ports;
+  for (int I = 0; I < FlowCount; ++I) {
+    Ports.push_back(W.openFlow(OrdersRoute, 0, false, "o" + std::to_string(I)));
+    if (I % FlowsAtOnce == 0)
+      W.run(OpenTime * FlowsAtOnce / FlowCount);
   }
-  openFlowsUntil(W, Clock::now() + milliseconds(2000), Routes, Number);
-  for (std::thread &T : Calls)
-    T.join();
-
-  const auto AcknowledgedAt = Leaving.drainAcknowledged();
-  if (!AcknowledgedAt || W.answered() == 0)
-    return 2;
-  int Late = 0;
-  for (const Ran &R : W.runs()) {
-    if (R.Side != LeavingSide || R.OpenedAt <= *AcknowledgedAt + DrainBound)
-      continue;
-    ++Late;
-    Log.line("DRAIN broken: the opening of request " + R.RequestId +
-             " arrived " +
-             std::to_string((R.OpenedAt - *AcknowledgedAt).count()) +
-             " ms after the acknowledgement");
+  const std::string Daemon = "s" + std::to_string(MetSide);
+  if (Trouble) {
+    W.run(milliseconds(30));
+    D.signal(Daemon, SIGTERM);
+    while (D.running(Daemon))
+      W.run(milliseconds(5));
+    D.start(Daemon);
+    while (Clock::now() < StartedAt + FirstBeat)
+      W.run(milliseconds(5));
+    W.server(MetSide)->startHeartbeats(HeartbeatMs);
   }
-  Log.line("acknowledged at " + std::to_string(AcknowledgedAt->count()) +
-           " ms; requests answered " + std::to_string(W.answered()) +
-           ", run by the leaving server on flows opened later than drain_ms: " +
-           std::to_string(Late));
-  return Late > 0 ? 1 : 0;
+  W.run(IdleTime);
+  for (const std::uint16_t Port : Ports)
+    W.request(Port, "p" + std::to_string(Port));
+  W.run(milliseconds(3000));
+  int Held = 0;
+  for (const Ran &R : W.runs())
+    Held += R.Side == MetSide ? 1 : 0;
+  Log.line("requests run " + std::to_string(W.runs().size()) + ", of these " +
+           std::to_string(Held) + " on " + Daemon +
+           "; open flows that were reset though their server holds them: " +
+           std::to_string(W.wrongResets().size()));
+  if (Held == 0)
+    return 2;
+  return W.wrongResets().empty() ? 0 : 1;
 }
 
 } // namespace
