--- a/include/jasminearch/fleet/messages.h
+++ b/include/jasminearch/fleet/messages.h
@@ -141,10 +141,13 @@
   auto operator<=>(const Evacuations &) const = default;
 };
 
-/// The cold limits of the routes in force, for agents, which get no routes.
+/// What the routes in force say of services, for agents, which get no routes.
 struct ServiceLimits {
   std::uint64_t RoutesVersion = 0;
   std::vector<flow::ColdLimit> Limits;
+  /// Names of all services; empty from a control host of an earlier version,
+  /// which doesn't send them.
+  std::vector<std::string> Services = {};
   auto operator<=>(const ServiceLimits &) const = default;
 };
 
@@ -217,6 +220,8 @@
   /// The operator's document, compressed; kept so that it can be read back
   /// unchanged.
   Bytes Document;
+  /// RouteTable::Services.
+  std::vector<std::string> Services = {};
 
   bool operator==(const AcceptedRoutes &) const = default;
 };
@@ -234,6 +239,9 @@
 Expected<std::string> decodeDocument(const AcceptedRoutes &Value);
 
 Bytes encodeAcceptedRoutes(const AcceptedRoutes &Value);
+
+/// \returns the configuration in an entry. Decodes the table of an entry of an
+/// earlier version, which doesn't list the services.
 Expected<AcceptedRoutes> decodeAcceptedRoutes(const Bytes &Encoded);
 
 } // namespace jasminearch::fleet
--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -142,9 +142,14 @@
   TimePoint Since{};
 };
 
-/// Whether an announcement or withdrawal is in force, or was ignored as
-/// outdated.
-enum class AnnouncementResult : std::uint8_t { Accepted, Outdated };
+/// Whether an announcement or withdrawal is in force, or why it was ignored.
+enum class AnnouncementResult : std::uint8_t {
+  Accepted,
+  Outdated,
+  /// The announcement names a service that this agent doesn't know, so that its
+  /// writer isn't the upstream.
+  UnknownService,
+};
 
 struct AgentOptions {
   /// Identifies this run of the agent.
@@ -164,6 +169,9 @@
   std::string Region = {};
   /// Bounds on the new flows of a cold upstream.
   ColdBounds Cold = {};
+  /// Service of the upstream according to the host's settings; empty if
+  /// unknown.
+  std::string Service = {};
 };
 
 /// What the agent knows about one flow.
@@ -229,6 +237,8 @@
   std::uint64_t Malformed = 0;
   std::uint64_t Announcements = 0;
   std::uint64_t AnnouncementsOutdated = 0;
+  /// Announcements of a service that the agent doesn't know.
+  std::uint64_t AnnouncementsOfUnknownServices = 0;
   /// Datagrams that a socket refused to send.
   std::uint64_t SendsRefused = 0;
 };
@@ -264,6 +274,9 @@
   std::vector<ColdLimit> ColdLimits;
   /// The limits have arrived in this run of the agent.
   bool ColdLimitsKnown = false;
+  /// Services of the routes in force; empty before they have arrived in this
+  /// run of the agent.
+  std::vector<std::string> RoutedServices;
   /// Openings of new flows that the upstream got.
   ColdWindow Delivered;
   /// When the first announcement of the current start arrived.
@@ -328,8 +341,9 @@
                                  StartListenCheck, AgentDecision>;
 using AgentEffects = std::vector<AgentEffect>;
 
-/// Stores an upstream's announcement. Within one start, the number decides
-/// which announcement is newer. An announcement of another start is accepted at
+/// Stores an upstream's announcement. One that names neither the service in the
+/// settings nor one of the routes changes nothing: the writer isn't the
+/// upstream. Within one start, the number decides which announcement is newer. An announcement of another start is accepted at
 /// once if it can only come from a successor, and otherwise once
 /// ContestSettleTime has shown that its process runs. \returns Accepted if the
 /// announcement is in force.
@@ -352,6 +366,14 @@
 /// Replaces the limits for upstreams in their cold start.
 void setColdLimits(AgentFlows &A, std::vector<ColdLimit> Limits);
 
+/// Replaces the services of the routes in force.
+void setRoutedServices(AgentFlows &A, std::vector<std::string> Services);
+
+/// \returns whether an upstream at this agent's address may be of \p Service:
+/// the settings or the routes in force name it. Before the routes have arrived
+/// any service may be, but only if the settings name none.
+bool knowsService(const AgentFlows &A, const std::string &Service);
+
 /// \returns whether the upstream accepts new flows of the service with this
 /// tag.
 bool acceptsNewFlows(const AgentFlows &A, std::uint32_t ServiceTag,
--- a/include/jasminearch/flow/agent_loop.h
+++ b/include/jasminearch/flow/agent_loop.h
@@ -63,6 +63,12 @@
   /// Replaces the cold limits of the services.
   void setColdLimits(std::vector<ColdLimit> Limits);
 
+  /// Replaces the services of the routes in force.
+  void setRoutedServices(std::vector<std::string> Services);
+
+  /// Sets the upstream's service according to the host's settings.
+  void setOwnService(std::string Service);
+
   /// \returns the counters in the Prometheus text format.
   std::string metrics();
 
--- a/src/fleet/control_evacuations.cpp
+++ b/src/fleet/control_evacuations.cpp
@@ -46,7 +46,7 @@
 void ControlNode::updateServiceLimits() {
   if (Limits && Limits->RoutesVersion == version())
     return;
-  ServiceLimits Updated{version(), {}};
+  ServiceLimits Updated{version(), {}, Current->Services};
   if (auto Decoded = decodeColdLimits(*Current))
     Updated.Limits = std::move(*Decoded);
   else
@@ -54,9 +54,9 @@
   Limits = std::make_shared<const ServiceLimits>(std::move(Updated));
 }
 
-/// Sends the limits of the routes in force on a new link, also if there are
-/// none, because an agent that doesn't know them holds back openings for a cold
-/// upstream; afterwards only changes.
+/// Sends the services and limits of the routes in force on a new link, also if
+/// there are no limits, because an agent that doesn't know them holds back
+/// openings for a cold upstream; afterwards only changes.
 void ControlNode::sendServiceLimits(link::LinkId Id, IncomingLink &L,
                                     TimePoint Now) {
   const bool IsFirst = !L.SentLimits;
@@ -64,7 +64,8 @@
       (!IsFirst && L.SentVersion >= version()))
     return;
   updateServiceLimits();
-  const bool Differs = IsFirst || L.SentLimits->Limits != Limits->Limits;
+  const bool Differs = IsFirst || L.SentLimits->Limits != Limits->Limits ||
+                       L.SentLimits->Services != Limits->Services;
   L.RoutesDue = Now + MinRoutesInterval;
   L.SentVersion = version();
   L.SentLimits = Limits;
--- a/src/fleet/fleet_client.cpp
+++ b/src/fleet/fleet_client.cpp
@@ -164,6 +164,7 @@
   logEvent(LogLevel::Info, "limits_in_force",
            {{"version", LimitsVersion},
             {"limits", std::uint64_t{Received.Limits.size()}},
+            {"services", std::uint64_t{Received.Services.size()}},
             {"control", LinkedHost}});
   if (Handlers.ServiceLimitsChanged)
     Handlers.ServiceLimitsChanged(Received);
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -185,7 +185,7 @@
   return json::array({M.Number, M.DataCentres});
 }
 json fields(const ServiceLimits &M) {
-  return json::array({M.RoutesVersion, toJson(M.Limits)});
+  return json::array({M.RoutesVersion, toJson(M.Limits), M.Services});
 }
 
 json fields(const EvacuationRequest &M) {
@@ -266,6 +266,8 @@
   ServiceLimits M;
   M.RoutesVersion = R.next<std::uint64_t>();
   M.Limits = toColdLimits(R.element());
+  if (R.more())
+    M.Services = R.next<std::vector<std::string>>();
   return M;
 }
 
@@ -359,6 +361,15 @@
   }
 }
 
+/// \returns the services of the table in an encoded Routes message, none if it
+/// can't be read.
+std::vector<std::string> decodeServices(const Bytes &Encoded) {
+  auto Message = decode(Encoded);
+  auto *Decoded = Message ? std::get_if<Routes>(&*Message) : nullptr;
+  return Decoded ? std::move(Decoded->Table.Services)
+                 : std::vector<std::string>();
+}
+
 } // namespace
 
 Bytes encode(const Message &Value) {
@@ -383,6 +394,7 @@
                                   const std::string &Document) {
   AcceptedRoutes Value;
   Value.Version = Table.Version;
+  Value.Services = Table.Services;
   Value.Message = encode(Routes{std::move(Table)});
   Value.Document = compress(Document.data(), Document.size());
   return Value;
@@ -418,7 +430,8 @@
 
 Bytes encodeAcceptedRoutes(const AcceptedRoutes &Value) {
   return json::to_cbor(json::array({Value.Version, json::binary(Value.Message),
-                                    json::binary(Value.Document)}));
+                                    json::binary(Value.Document),
+                                    Value.Services}));
 }
 
 Expected<AcceptedRoutes> decodeAcceptedRoutes(const Bytes &Encoded) {
@@ -431,6 +444,8 @@
     Value.Version = R.next<std::uint64_t>();
     Value.Message = R.element().get_binary();
     Value.Document = R.element().get_binary();
+    Value.Services = R.more() ? R.next<std::vector<std::string>>()
+                              : decodeServices(Value.Message);
     return Value;
   } catch (const json::exception &E) {
     return fail(ErrorCode::MessageMalformed, E.what());
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -627,6 +627,10 @@
 AnnouncementResult announce(AgentFlows &A, const AnnouncedUpstream &Value,
                             TimePoint Now) {
   ++A.Counters.Announcements;
+  if (!knowsService(A, Value.Service)) {
+    ++A.Counters.AnnouncementsOfUnknownServices;
+    return AnnouncementResult::UnknownService;
+  }
   if (!A.Upstream)
     return acceptAnnouncement(A, Value, Now);
   const UpstreamStart Start{Value.Name, Value.StartedAtMs};
@@ -671,6 +675,19 @@
   A.ColdLimitsKnown = true;
 }
 
+void setRoutedServices(AgentFlows &A, std::vector<std::string> Services) {
+  A.RoutedServices = std::move(Services);
+}
+
+bool knowsService(const AgentFlows &A, const std::string &Service) {
+  if (Service == A.Options.Service)
+    return true;
+  const auto &Routed = A.RoutedServices;
+  if (Routed.empty())
+    return A.Options.Service.empty();
+  return std::find(Routed.begin(), Routed.end(), Service) != Routed.end();
+}
+
 bool acceptsNewFlows(const AgentFlows &A, std::uint32_t ServiceTag,
                      TimePoint Now) {
   return takesOpenings(A, Now) && serviceTag(A.Upstream->Service) == ServiceTag;
--- a/src/flow/agent_loop.cpp
+++ b/src/flow/agent_loop.cpp
@@ -54,6 +54,8 @@
   Text.counter("malformed_total", C.Malformed);
   Text.counter("announcements_total", C.Announcements);
   Text.counter("announcements_outdated_total", C.AnnouncementsOutdated);
+  Text.counter("announcements_unknown_service_total",
+               C.AnnouncementsOfUnknownServices);
   Text.counter("sends_refused_total", C.SendsRefused);
   Text.gauge("active_flows", R.ActiveFlows);
   Text.gauge("outstanding", R.Outstanding);
@@ -182,7 +184,7 @@
     const bool Changed = !Before || Before->Name != Value.Name ||
                          Before->State != Value.State ||
                          Before->StartedAtMs != Value.StartedAtMs;
-    if (Changed || Result == AnnouncementResult::Outdated)
+    if (Changed || Result != AnnouncementResult::Accepted)
       logEvent(LogLevel::Info, "upstream_announced",
                {{"upstream", Value.Name},
                 {"service", Value.Service},
@@ -215,6 +217,18 @@
   });
 }
 
+void AgentLoop::setRoutedServices(std::vector<std::string> Services) {
+  Mail.post([this, Services = std::move(Services)]() mutable {
+    flow::setRoutedServices(Flows, std::move(Services));
+  });
+}
+
+void AgentLoop::setOwnService(std::string Service) {
+  Mail.post([this, Service = std::move(Service)]() mutable {
+    Flows.Options.Service = std::move(Service);
+  });
+}
+
 std::string AgentLoop::metrics() {
   return detail::callAndWait(Mail,
                              [this] { return metricsText(Flows, Time.now()); });
--- a/standins/jasminearch_flows.cpp
+++ b/standins/jasminearch_flows.cpp
@@ -599,6 +599,8 @@
           {"service", ServiceNames[U.Service]},
           {"address",
            toString(Endpoint{AgentNetwork + U.Number, UpstreamPort})},
+          {"zone", "z"},
+          {"version", "v1"},
           {"concurrency_limit", 8},
           {"state", "ready"},
           {"cold_remaining_ms", 0}};
--- a/tests/fleet_control_test.cpp
+++ b/tests/fleet_control_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet_world.h"
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 using namespace jasminearch;
 using namespace jasminearch::fleet;
@@ -600,6 +601,7 @@
 class FleetMessagesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetMessagesTest);
   CPPUNIT_TEST(keepsEveryField);
+  CPPUNIT_TEST(listsTheServicesOfEntriesOfEarlierVersions);
   CPPUNIT_TEST(rejectsTruncatedMessages);
   CPPUNIT_TEST_SUITE_END();
 
@@ -643,6 +645,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string("{ }"), *decodeDocument(*Back));
   }
 
+  /// Guards against an update after which agents know no service: earlier
+  /// versions stored configurations without a list of them.
+  void listsTheServicesOfEntriesOfEarlierVersions() {
+    const AcceptedRoutes Value =
+        makeAcceptedRoutes(std::get<Routes>(samples().at(5)).Table, "{ }");
+    CPPUNIT_ASSERT(!Value.Services.empty());
+    auto Fields = nlohmann::json::from_cbor(encodeAcceptedRoutes(Value));
+    Fields.erase(3);
+    const auto Back = decodeAcceptedRoutes(nlohmann::json::to_cbor(Fields));
+    CPPUNIT_ASSERT(Back && *Back == Value);
+    auto Limits = nlohmann::json::from_cbor(
+        encode(ServiceLimits{4, {{"s", 4s, 2.5}}, {"s", "t"}}));
+    Limits.at(1).erase(2);
+    const auto Earlier = decode(nlohmann::json::to_cbor(Limits));
+    CPPUNIT_ASSERT(Earlier);
+    CPPUNIT_ASSERT((std::get<ServiceLimits>(*Earlier) ==
+                    ServiceLimits{4, {{"s", 4s, 2.5}}}));
+  }
+
   void rejectsTruncatedMessages() {
     for (const Message &M : samples()) {
       const Bytes Whole = encode(M);
--- a/tests/fleet_evacuation_test.cpp
+++ b/tests/fleet_evacuation_test.cpp
@@ -112,7 +112,8 @@
     CPPUNIT_ASSERT((Old && *Old == Message{Status{70ms, 6, 0}}));
     for (const Message &M :
          {Message{Status{70ms, 6, 9}}, Message{Evacuations{9, {"a", "b"}}},
-          Message{ServiceLimits{4, {{"s", 4s, 2.5}}}}})
+          Message{ServiceLimits{4, {{"s", 4s, 2.5}}}},
+          Message{ServiceLimits{4, {}, {"s", "t"}}}})
       CPPUNIT_ASSERT(decode(encode(M)) == M);
   }
 
@@ -527,6 +528,7 @@
   CPPUNIT_TEST(reachesDaemonsOfALostControlHost);
   CPPUNIT_TEST(tellsARestartedDaemonBeforeItIsReady);
   CPPUNIT_TEST(sendsLimitsToAgents);
+  CPPUNIT_TEST(sendsServicesToAgents);
   CPPUNIT_TEST(withdrawsLimitsThatAnAgentMissed);
   CPPUNIT_TEST(endsInOneStateAfterRandomInterleavings);
   CPPUNIT_TEST_SUITE_END();
@@ -633,10 +635,11 @@
         });
   }
 
-  void submitRoutes(std::uint64_t Version,
-                    std::vector<flow::ColdLimit> Limits) {
+  void submitRoutes(std::uint64_t Version, std::vector<flow::ColdLimit> Limits,
+                    Names Services = {}) {
     flow::RouteTable Table;
     Table.Version = Version;
+    Table.Services = std::move(Services);
     Table.ColdLimits = std::move(Limits);
     W->leader()->submit(makeAcceptedRoutes(Table, "d"),
                         [](const SubmitResult &) {});
@@ -856,6 +859,30 @@
     }
   }
 
+  /// Guards against agents that take the announcements of services that nobody
+  /// configured, or refuse those of a service that has just been added, also
+  /// after a restart of the control hosts.
+  void sendsServicesToAgents() {
+    begin();
+    startDaemons();
+    submitRoutes(1, {}, {"s"});
+    submitRoutes(2, {}, {"s"});
+    submitRoutes(3, {}, {"s", "t"});
+    restartControls();
+    W->run(5s);
+    submitRoutes(4, {}, {"s", "t"});
+    submitRoutes(5, {}, {"t"});
+    for (const auto &[Host, D] : W->Daemons) {
+      const bool IsAgent = Host.starts_with("10.0.2.");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{IsAgent ? 3U : 0U}, D.Limits.size());
+      if (!IsAgent)
+        continue;
+      CPPUNIT_ASSERT((D.Limits[0] == ServiceLimits{1, {}, {"s"}}));
+      CPPUNIT_ASSERT((D.Limits[1] == ServiceLimits{3, {}, {"s", "t"}}));
+      CPPUNIT_ASSERT((D.Limits[2] == ServiceLimits{5, {}, {"t"}}));
+    }
+  }
+
   /// Guards against an agent that keeps limits which were removed while it had
   /// no link: after a restart, control hosts don't know that there were any.
   void withdrawsLimitsThatAnAgentMissed() {
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -27,6 +27,10 @@
   CPPUNIT_TEST(followsSoundStartTimesAfterAnExcessiveOne);
   CPPUNIT_TEST(leftoversOfAnEarlierStartTakeNoOpenings);
   CPPUNIT_TEST(copiesOfAnAnnouncementChangeNothing);
+  CPPUNIT_TEST(announcementsOfUnknownServicesChangeNothing);
+  CPPUNIT_TEST(unknownServicesAreRefusedRightAfterTheStart);
+  CPPUNIT_TEST(takesAnotherServiceOfTheRoutesAtOnce);
+  CPPUNIT_TEST(takesAnyServiceIfNoneIsNamed);
   CPPUNIT_TEST(inputFromBeforeAPauseRenewsNoLease);
   CPPUNIT_TEST(followsTheRunningStartAfterRandomInterleavings);
   CPPUNIT_TEST(forgetsFlowsOfAnEarlierStart);
@@ -378,6 +382,89 @@
     CPPUNIT_ASSERT(!upstreamGone(A));
   }
 
+  /// Guards against open flows that are reset after one announcement of another
+  /// writer, which names a service that nobody configured: it was taken for the
+  /// upstream's next start, whose agent knows all flows.
+  void announcementsOfUnknownServicesChangeNothing() {
+    for (const std::string Name : {"i-1", "i-2"})
+      for (const std::int64_t StartedAtMs : {0, 500, 1000, 2000})
+        for (const std::uint64_t Odd : {0U, 1U, 6U, 7U, 1'000'000U})
+          for (const UpstreamState State :
+               {UpstreamState::Ready, UpstreamState::Draining}) {
+            begin(true);
+            A.Options.Service = "orders";
+            setRoutedServices(A, {"catalogue", "orders"});
+            busyFlow(1);
+            const auto Before = A.Upstream;
+            AnnouncedUpstream Foreign = start(Name, StartedAtMs, Odd);
+            Foreign.Service = "not-configured";
+            Foreign.State = State;
+            for (int Repeated = 0; Repeated < 3; ++Repeated) {
+              Now += AnnouncementInterval;
+              CPPUNIT_ASSERT(announce(A, Foreign, Now) ==
+                             AnnouncementResult::UnknownService);
+              ++Foreign.Number;
+              CPPUNIT_ASSERT(A.Upstream == Before && !A.Contested);
+              CPPUNIT_ASSERT(located(1) == FlowPresence::Yes);
+            }
+            forward(data(1));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+            CPPUNIT_ASSERT(announce(A, announced(), Now) ==
+                           AnnouncementResult::Accepted);
+            forward(opening(2));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+                                 A.Counters.AnnouncementsOfUnknownServices);
+          }
+  }
+
+  /// Guards against an agent that has just started and takes the announcement
+  /// of another writer for its upstream's.
+  void unknownServicesAreRefusedRightAfterTheStart() {
+    begin();
+    A.Upstream.reset();
+    A.Options.Service = "orders";
+    AnnouncedUpstream Foreign = start("i-9", 2000, FirstAnnouncementNumber);
+    Foreign.Service = "not-configured";
+    for (const bool RoutesArrived : {false, true}) {
+      if (RoutesArrived)
+        setRoutedServices(A, {"catalogue", "orders"});
+      CPPUNIT_ASSERT(announce(A, Foreign, Now) ==
+                     AnnouncementResult::UnknownService);
+      CPPUNIT_ASSERT(!A.Upstream);
+      CPPUNIT_ASSERT(located(1) == FlowPresence::Unsure);
+    }
+    CPPUNIT_ASSERT(announce(A, announced(), Now) ==
+                   AnnouncementResult::Accepted);
+    CPPUNIT_ASSERT(acceptsNewFlows(A, serviceTag("orders"), Now));
+  }
+
+  /// Guards against an address that stays with its former service, because the
+  /// settings still name it.
+  void takesAnotherServiceOfTheRoutesAtOnce() {
+    begin();
+    A.Options.Service = "orders";
+    AnnouncedUpstream Successor = start("i-2", 2000, FirstAnnouncementNumber);
+    Successor.Service = "catalogue";
+    CPPUNIT_ASSERT(announce(A, Successor, Now) ==
+                   AnnouncementResult::UnknownService);
+    setRoutedServices(A, {"catalogue"});
+    CPPUNIT_ASSERT(announce(A, Successor, Now) == AnnouncementResult::Accepted);
+    CPPUNIT_ASSERT(acceptsNewFlows(A, serviceTag("catalogue"), Now));
+    // The service in the settings needs no routes.
+    CPPUNIT_ASSERT(announce(A, start("i-3", 3000, 1), Now) ==
+                   AnnouncementResult::Accepted);
+  }
+
+  /// Guards against an upstream that gets no flows while no control host can be
+  /// reached, where the settings name no service.
+  void takesAnyServiceIfNoneIsNamed() {
+    begin();
+    CPPUNIT_ASSERT(knowsService(A, "orders"));
+    setRoutedServices(A, {"catalogue"});
+    CPPUNIT_ASSERT(!knowsService(A, "orders"));
+  }
+
   /// Guards against openings that reach the successor at the upstream's
   /// address: packets and announcements from before a pause of the agent
   /// renewed the lease that ran out meanwhile.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdio>
 #include <fstream>
+#include <nlohmann/json.hpp>
 
 using namespace jasminearch;
 using namespace jasminearch::platform;
@@ -121,6 +122,7 @@
   CPPUNIT_TEST(refusesTruncatedConfigurations);
   CPPUNIT_TEST(readsAHeartbeat);
   CPPUNIT_TEST(refusesMalformedHeartbeats);
+  CPPUNIT_TEST(refusesHeartbeatsWithoutAField);
   CPPUNIT_TEST(refusesValuesOutOfRangeInHeartbeats);
   CPPUNIT_TEST(refusesValuesOutOfRangeInConfigurations);
   CPPUNIT_TEST(refusesDeeplyNestedDocuments);
@@ -200,6 +202,8 @@
         {"10.128.0.9:8080", "here"},
         {"1790000000000", "1.5"},
         {"{\"service\"", "[\"service\""},
+        {"\"version\":\"v1\"", "\"version\":1"},
+        {"\"zone\":\"z\"", "\"zone\":[\"z\"]"},
     };
     for (const auto &[Old, New] : Changes) {
       const auto H =
@@ -210,6 +214,31 @@
     CPPUNIT_ASSERT(!readHeartbeat("", HeartbeatBody));
   }
 
+  /// Guards against a heartbeat of another writer that is taken for the
+  /// upstream's next start: without "born" it counted as the first one, and
+  /// "zone", "version" and "cold_remaining_ms" weren't looked at.
+  void refusesHeartbeatsWithoutAField() {
+    const auto Whole = nlohmann::json::parse(HeartbeatBody);
+    for (const auto &Item : Whole.items()) {
+      const std::string &Key = Item.key();
+      auto Body = Whole;
+      Body.erase(Key);
+      CPPUNIT_ASSERT_MESSAGE(Key, !readHeartbeat("i-1", Body.dump()));
+      for (const nlohmann::json &Odd :
+           {nlohmann::json(nullptr), nlohmann::json(true),
+            nlohmann::json::array(), nlohmann::json::object(),
+            Item.value().is_string() ? nlohmann::json(1)
+                                     : nlohmann::json("1")}) {
+        Body[Key] = Odd;
+        CPPUNIT_ASSERT_MESSAGE(Key + " " + Odd.dump(),
+                               !readHeartbeat("i-1", Body.dump()));
+      }
+    }
+    auto WithNewField = Whole;
+    WithNewField["weight"] = 3;
+    CPPUNIT_ASSERT(readHeartbeat("i-1", WithNewField.dump()).has_value());
+  }
+
   /// Values that no number in a document may have.
   const std::vector<std::string> BadNumbers = {
       "-1",      "1.5",    "18446744073709551616",
@@ -367,6 +396,7 @@
 seed_nodes = ["10.1.0.16:8166","10.2.0.45:8166"]
 bootstrap = true
 app = "10.1.0.12:8165"
+service = "orders"
 unknown_field = 3
 [bind_addresses]
 packet_address = "10.1.0.12:8172"
@@ -385,6 +415,7 @@
     CPPUNIT_ASSERT(S->FirstStart && S->ToleratedLosses == 2);
     CPPUNIT_ASSERT(S->AddressReuseDelay == 3s);
     CPPUNIT_ASSERT(S->Upstream && !S->Outbound);
+    CPPUNIT_ASSERT_EQUAL(std::string("orders"), S->Service);
   }
 
   void refusesBadFiles() {
@@ -392,6 +423,8 @@
     CPPUNIT_ASSERT(!load(replaceFirst(Text, "\"10.1.0.16:8166\"", "\"x\"")));
     CPPUNIT_ASSERT(!load(replaceFirst(Text, "[7720,7735]", "[]")));
     CPPUNIT_ASSERT(!load(replaceFirst(Text, "node_name = \"side-1\"", "")));
+    CPPUNIT_ASSERT(!load(replaceFirst(Text, "service = \"orders\"",
+                                      "service = 7")));
     CPPUNIT_ASSERT(!loadNodeSettings("no-such-file.toml"));
   }
 
