--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -343,10 +343,10 @@
 
 /// Stores an upstream's announcement. One that names neither the service in the
 /// settings nor one of the routes changes nothing: the writer isn't the
-/// upstream. Within one start, the number decides which announcement is newer. An announcement of another start is accepted at
-/// once if it can only come from a successor, and otherwise once
-/// ContestSettleTime has shown that its process runs. \returns Accepted if the
-/// announcement is in force.
+/// upstream. Within one start, the number decides which announcement is newer.
+/// An announcement of another start is accepted at once if it can only come
+/// from a successor, and otherwise once ContestSettleTime has shown that its
+/// process runs. \returns Accepted if the announcement is in force.
 AnnouncementResult announce(AgentFlows &A, const AnnouncedUpstream &Value,
                             TimePoint Now);
 
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -429,9 +429,9 @@
 }
 
 Bytes encodeAcceptedRoutes(const AcceptedRoutes &Value) {
-  return json::to_cbor(json::array({Value.Version, json::binary(Value.Message),
-                                    json::binary(Value.Document),
-                                    Value.Services}));
+  return json::to_cbor(
+      json::array({Value.Version, json::binary(Value.Message),
+                   json::binary(Value.Document), Value.Services}));
 }
 
 Expected<AcceptedRoutes> decodeAcceptedRoutes(const Bytes &Encoded) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -423,8 +423,8 @@
     CPPUNIT_ASSERT(!load(replaceFirst(Text, "\"10.1.0.16:8166\"", "\"x\"")));
     CPPUNIT_ASSERT(!load(replaceFirst(Text, "[7720,7735]", "[]")));
     CPPUNIT_ASSERT(!load(replaceFirst(Text, "node_name = \"side-1\"", "")));
-    CPPUNIT_ASSERT(!load(replaceFirst(Text, "service = \"orders\"",
-                                      "service = 7")));
+    CPPUNIT_ASSERT(
+        !load(replaceFirst(Text, "service = \"orders\"", "service = 7")));
     CPPUNIT_ASSERT(!loadNodeSettings("no-such-file.toml"));
   }
 
