Keep flows of an unannounced start that were opened before a pause of the agent

What callers could see: an upstream returns and takes flows, the agent is paused for more than 3 s, then reads the upstream's first announcement and denies them.

Cause: flows that were opened less than 3 s before a start's first announcement may belong to it and are kept; the time counted to when the announcement was read, not to when it can have been sent.

Change: the time counts to the earliest time at which the announcement can have been sent, as for the lease.

--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -552,12 +552,12 @@
 /// Forgets the flows of the upstream's former process. Flows that were opened
 /// recently may belong to the new process already; they stay, unconfirmed,
 /// until the upstream answers on them or returns their packets.
-void forgetEarlierFlows(AgentFlows &A, TimePoint Now) {
-  absl::erase_if(A.Flows, [Now](auto &Item) {
+void forgetEarlierFlows(AgentFlows &A, TimePoint AnnouncedAt) {
+  absl::erase_if(A.Flows, [AnnouncedAt](auto &Item) {
     AgentFlow &F = Item.second;
     F.Confirmed = F.InFlight = F.FirstRequestPending = false;
     F.RequestDeliveredAt.reset();
-    return Now - F.OpenedAt >= UnannouncedFlowWindow;
+    return AnnouncedAt - F.OpenedAt >= UnannouncedFlowWindow;
   });
 }
 
@@ -606,7 +606,8 @@
   A.EarlierStarts.push_back({A.Upstream->Name, A.Upstream->StartedAtMs});
   if (A.EarlierStarts.size() > MaxEarlierStarts)
     A.EarlierStarts.pop_front();
-  forgetEarlierFlows(A, Now);
+  // Input that is read after a pause of the agent may be from before it.
+  forgetEarlierFlows(A, earliestSendTime(A.Input, Now));
   A.HeardFirstAnnouncement = false;
   A.InFlight = 0;
   A.RecentOpenings.clear();
--- a/tests/flow_agent_test.cpp
+++ b/tests/flow_agent_test.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(aRefusedCheckIsEvidenceAfterTheAnnouncement);
   CPPUNIT_TEST(keepsAFlowWhoseOpeningCopyIsReturned);
   CPPUNIT_TEST(keepsFlowsOpenedBeforeTheFirstAnnouncement);
+  CPPUNIT_TEST(keepsFlowsOpenedBeforeAPauseAndTheFirstAnnouncement);
   CPPUNIT_TEST(knowsThatNothingListensBeforeTheFirstAnnouncement);
   CPPUNIT_TEST(returnsPacketsOnceNothingListens);
   CPPUNIT_TEST(signsOfLifeOverrideARefusedCheck);
@@ -872,6 +873,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
   }
 
+  /// Guards against denying a flow that a restarted upstream accepted before
+  /// its first announcement, because the agent was paused before it read that.
+  void keepsFlowsOpenedBeforeAPauseAndTheFirstAnnouncement() {
+    begin(true);
+    beginRound(A.Input, Now);
+    busyFlow(2);
+    Now += UnannouncedFlowWindow + 1s;
+    beginRound(A.Input, Now);
+    announce(A, start("i-1", 2000, FirstAnnouncementNumber), Now);
+    CPPUNIT_ASSERT(located(2) == FlowPresence::Unsure);
+    forward(data(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered());
+  }
+
   /// Guards against searches that wait 2 s for an agent whose upstream process
   /// isn't running.
   void knowsThatNothingListensBeforeTheFirstAnnouncement() {
