--- a/include/jasminearch/flow/agent_flows.h
+++ b/include/jasminearch/flow/agent_flows.h
@@ -76,10 +76,10 @@
 /// time between two announcements.
 inline constexpr std::chrono::milliseconds ContestSettleTime{500};
 
-/// An upstream and an agent that start within this time of each other can have
-/// started together, as after a loss of power. A run that is stopped in order
-/// delivers no openings for as long before it ends, so that an upstream that
-/// got flows from it is further from the start of the next run.
+/// An upstream that starts less than this time before its agent can have
+/// started together with it, as after a loss of power. A run that is stopped in
+/// order delivers no openings for as long before it ends, so that an upstream
+/// that got flows from it is further from the start of the next run.
 inline constexpr std::chrono::milliseconds MaxStartDistance{300};
 
 /// Control hosts hear of a run until at most this long before its end, as long
--- a/src/flow/agent_flows.cpp
+++ b/src/flow/agent_flows.cpp
@@ -2,7 +2,6 @@
 #include "jasminearch/flow/detail/agent_cold.h"
 #include "jasminearch/flow/exclusion.h"
 #include <algorithm>
-#include <cstdlib>
 #include <tuple>
 #include <utility>
 
@@ -122,10 +121,12 @@
   if (!A.Upstream || !A.HeardFirstAnnouncement || !A.EarlierStarts.empty() ||
       A.Options.StartedAtMs == 0)
     return;
-  const milliseconds Distance(
-      std::abs(A.Upstream->StartedAtMs - A.Options.StartedAtMs));
+  // An upstream that started after this run would have been found missing; a
+  // later start time shows that the clock was set.
+  const milliseconds Distance(A.Options.StartedAtMs - A.Upstream->StartedAtMs);
   A.StartedTogether = A.StartedTogether ||
-                      (Distance < MaxStartDistance && earlierRunsHaveEnded(A));
+                      (Distance >= milliseconds(0) &&
+                       Distance < MaxStartDistance && earlierRunsHaveEnded(A));
 }
 
 void deliver(Context &C, const Endpoint &Entry, const Packet &P,
