Move the record of earlier runs out of the control node's class

clang rejects std::optional::emplace() for a nested class with a default member initializer, so that lint and the fuzzers' build failed; g++ accepts it.

--- a/include/jasminearch/fleet/control_node.h
+++ b/include/jasminearch/fleet/control_node.h
@@ -136,6 +136,15 @@
   auto operator<=>(const DirectoryCounters &) const = default;
 };
 
+/// What a control host knows of the runs at an agent's address before the one
+/// that is linked to it.
+struct EarlierRunsView {
+  /// When one was last heard of; empty if none was since the host started.
+  std::optional<TimePoint> HeardAt;
+  /// The agent has been told.
+  bool Sent = false;
+};
+
 using SubmitResult = std::variant<Accepted, RedirectToLeader, Unavailable>;
 using ReadResult =
     std::variant<CurrentRoutes, NoRoutes, RedirectToLeader, Unavailable>;
@@ -226,12 +235,6 @@
     TimePoint KnownAt{};
     TimePoint StatusDue{};
   };
-  /// The runs at an agent's address before the one that is linked.
-  struct EarlierRunsView {
-    /// When one was last heard of; empty if none was since this host started.
-    std::optional<TimePoint> HeardAt;
-    bool Sent = false;
-  };
   /// A link that another host opened.
   struct IncomingLink {
     bool HelloReceived = false;
